--- /dev/null
+++ b/cli/src/main/java/org/dragonflyhill/cli/ChangePlan.java
@@ -0,0 +1,61 @@
+package org.dragonflyhill.cli;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.dragonflyhill.core.ChangeRecord;
+import org.dragonflyhill.core.ConfigurationObject;
+import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.core.ObjectKey;
+
+/**
+ * Works out the change that turns a configuration into an inventory.
+ *
+ * <p>Stateless and thread-safe; no argument may be null.
+ */
+final class ChangePlan {
+
+  private ChangePlan() {}
+
+  /**
+   * Returns the change, or empty where nothing differs.
+   *
+   * @param current configuration in force
+   * @param wanted objects of the inventory
+   * @param isPruning whether objects that the inventory lacks are deleted
+   * @param changeId id of the change
+   * @param author who makes it
+   */
+  static Optional<ChangeRecord> plan(
+      ConfigurationState current,
+      List<ConfigurationObject> wanted,
+      boolean isPruning,
+      String changeId,
+      String author) {
+    List<ConfigurationObject> upserts = new ArrayList<>();
+    Set<ObjectKey> named = new HashSet<>();
+    for (ConfigurationObject object : wanted) {
+      named.add(object.key());
+      if (!current.object(object.key()).equals(Optional.of(object))) {
+        upserts.add(object);
+      }
+    }
+    List<ObjectKey> deletes = new ArrayList<>();
+    if (isPruning) {
+      current.objects().keySet().stream().filter(key -> !named.contains(key)).forEach(deletes::add);
+    }
+    if (upserts.isEmpty() && deletes.isEmpty()) {
+      return Optional.empty();
+    }
+    List<ChangeRecord.Base> bases = new ArrayList<>();
+    upserts.forEach(object -> bases.add(base(current, object.key())));
+    deletes.forEach(key -> bases.add(base(current, key)));
+    return Optional.of(new ChangeRecord(changeId, author, bases, upserts, deletes));
+  }
+
+  private static ChangeRecord.Base base(ConfigurationState current, ObjectKey key) {
+    return new ChangeRecord.Base(key, current.offsetOf(key));
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/dragonflyhill/cli/InventoryReader.java
@@ -0,0 +1,229 @@
+package org.dragonflyhill.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.dragonflyhill.core.ConfigurationCheck;
+import org.dragonflyhill.core.ConfigurationObject;
+import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.core.ObjectKey;
+import org.dragonflyhill.platform.Json;
+
+/**
+ * Reads an inventory file, YAML or JSON, and reports all its faults at once.
+ *
+ * <pre>{@code
+ * InventoryReader.Result result = InventoryReader.read("inventory.yaml", text);
+ * }</pre>
+ *
+ * <p>Stateless and thread-safe; no argument may be null.
+ */
+final class InventoryReader {
+
+  /** Sections of the file and the type of their entries. */
+  private static final List<Section> SECTIONS =
+      List.of(
+          new Section("availability_zones", ConfigurationObject.AvailabilityZone.class),
+          new Section("organisations", ConfigurationObject.Organisation.class),
+          new Section("models", ConfigurationObject.Model.class),
+          new Section("runners", ConfigurationObject.Runner.class),
+          new Section("stores", ConfigurationObject.Store.class),
+          new Section("services", ConfigurationObject.Service.class),
+          new Section("applications", ConfigurationObject.Application.class),
+          new Section("rules", ConfigurationObject.Rule.class));
+
+  private static final PropertyNamingStrategies.SnakeCaseStrategy NAMES =
+      new PropertyNamingStrategies.SnakeCaseStrategy();
+
+  private final String file;
+  private final List<ConfigurationObject> objects = new ArrayList<>();
+  private final List<String> faults = new ArrayList<>();
+
+  private InventoryReader(String file) {
+    this.file = file;
+  }
+
+  /**
+   * Reads an inventory.
+   *
+   * @param file name of the file, for messages
+   * @param text its text
+   */
+  static Result read(String file, String text) {
+    InventoryReader reader = new InventoryReader(file);
+    reader.read(text);
+    return new Result(reader.objects, reader.faults);
+  }
+
+  private void read(String text) {
+    JsonNode root;
+    try {
+      root = new YAMLMapper().readTree(text);
+    } catch (JsonProcessingException e) {
+      faults.add(file + ": no YAML or JSON: " + e.getOriginalMessage());
+      return;
+    }
+    if (!root.isObject()) {
+      faults.add(file + ": expected a mapping of sections");
+      return;
+    }
+    Set<String> unknown = new HashSet<>();
+    root.fieldNames().forEachRemaining(unknown::add);
+    for (Section section : SECTIONS) {
+      unknown.remove(section.name());
+      readSection(section, root.path(section.name()));
+    }
+    unknown.stream().sorted().forEach(name -> fault(name, root.get(name), "no such section"));
+    if (faults.isEmpty()) {
+      checkReferences();
+    }
+  }
+
+  private void readSection(Section section, JsonNode entries) {
+    if (entries.isMissingNode()) {
+      return;
+    }
+    if (!entries.isArray()) {
+      fault(section.name(), entries, "expected a list");
+      return;
+    }
+    for (int i = 0; i < entries.size(); i++) {
+      readEntry(section, section.name() + "[" + i + "]", entries.get(i));
+    }
+  }
+
+  private void readEntry(Section section, String path, JsonNode entry) {
+    int before = faults.size();
+    checkRecord(section.type(), path, entry);
+    if (faults.size() > before) {
+      return;
+    }
+    ObjectNode tagged = entry.deepCopy();
+    tagged.put(
+        "kind",
+        section.type().getSimpleName().replaceAll("(?<=.)([A-Z])", "_$1").toLowerCase(Locale.ROOT));
+    Json.read(tagged.toString(), ConfigurationObject.class)
+        .peek(objects::add)
+        .peekLeft(message -> fault(path, entry, message));
+  }
+
+  private void checkRecord(Class<?> type, String path, JsonNode entry) {
+    if (!entry.isObject()) {
+      fault(path, entry, "expected a mapping");
+      return;
+    }
+    Set<String> unknown = new HashSet<>();
+    entry.fieldNames().forEachRemaining(unknown::add);
+    for (RecordComponent component : type.getRecordComponents()) {
+      String name = NAMES.translate(component.getName());
+      unknown.remove(name);
+      checkValue(component.getGenericType(), path + "." + name, entry.path(name));
+    }
+    unknown.stream()
+        .sorted()
+        .forEach(name -> fault(path + "." + name, entry.get(name), "no such field"));
+  }
+
+  private void checkValue(Type type, String path, JsonNode value) {
+    if (value.isMissingNode() || value.isNull()) {
+      faults.add(file + ": " + path + ": missing, expected " + expected(type));
+    } else if (type instanceof ParameterizedType list) {
+      checkList(list.getActualTypeArguments()[0], path, value);
+    } else if (type instanceof Class<?> raw && raw.isRecord()) {
+      checkRecord(raw, path, value);
+    } else if (!matches(type, value)) {
+      fault(path, value, "expected " + expected(type));
+    }
+  }
+
+  private void checkList(Type elementType, String path, JsonNode value) {
+    if (!value.isArray()) {
+      fault(path, value, "expected a list");
+      return;
+    }
+    for (int i = 0; i < value.size(); i++) {
+      checkValue(elementType, path + "[" + i + "]", value.get(i));
+    }
+  }
+
+  private static boolean matches(Type type, JsonNode value) {
+    if (type == int.class) {
+      return value.isIntegralNumber() && value.canConvertToInt();
+    }
+    if (type == long.class) {
+      return value.isIntegralNumber() && value.canConvertToLong();
+    }
+    if (type == double.class) {
+      return value.isNumber();
+    }
+    if (type == boolean.class) {
+      return value.isBoolean();
+    }
+    if (type instanceof Class<?> raw && raw.isEnum()) {
+      return constants(raw).contains(value.asText());
+    }
+    return value.isTextual();
+  }
+
+  private static String expected(Type type) {
+    if (type == int.class || type == long.class) {
+      return "a whole number";
+    }
+    if (type == double.class) {
+      return "a number";
+    }
+    if (type == boolean.class) {
+      return "true or false";
+    }
+    if (type instanceof ParameterizedType) {
+      return "a list";
+    }
+    if (type instanceof Class<?> raw && raw.isEnum()) {
+      return "one of " + String.join(", ", constants(raw));
+    }
+    return "a string";
+  }
+
+  private static List<String> constants(Class<?> type) {
+    return Arrays.stream(type.getEnumConstants()).map(String::valueOf).toList();
+  }
+
+  private void checkReferences() {
+    Map<ObjectKey, ConfigurationState.VersionedObject> byKey = new TreeMap<>();
+    for (ConfigurationObject object : objects) {
+      if (byKey.put(object.key(), new ConfigurationState.VersionedObject(object, 0)) != null) {
+        faults.add(file + ": " + object.key() + ": named twice");
+      }
+    }
+    ConfigurationCheck.faults(byKey).forEach(fault -> faults.add(file + ": " + fault));
+  }
+
+  private void fault(String path, JsonNode value, String expected) {
+    String text = value.toString();
+    String shortened = text.length() <= 80 ? text : text.substring(0, 80) + "...";
+    faults.add(file + ": " + path + ": " + shortened + ": " + expected);
+  }
+
+  private record Section(String name, Class<? extends ConfigurationObject> type) {}
+
+  /**
+   * What was read.
+   *
+   * @param objects the objects; not to be used if there are faults
+   * @param faults what is wrong, each with file, path, value and what was expected
+   */
+  record Result(List<ConfigurationObject> objects, List<String> faults) {}
+}
--- /dev/null
+++ b/cli/src/main/java/org/dragonflyhill/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.dragonflyhill.cli;
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/ConfigurationFold.java
@@ -0,0 +1,111 @@
+package org.dragonflyhill.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * Folds change records into a configuration.
+ *
+ * <p>The log's order decides between racing operators: a change whose base is stale is rejected,
+ * and every node rejects the same ones because the fold reads nothing but the state and the record.
+ *
+ * <pre>{@code
+ * ConfigurationState next = ConfigurationFold.apply(state, 42, change);
+ * boolean accepted = next.decision(change.changeId()).orElseThrow().isAccepted();
+ * }</pre>
+ *
+ * <p>Stateless and thread-safe; no argument may be null.
+ */
+public final class ConfigurationFold {
+
+  private ConfigurationFold() {}
+
+  /**
+   * Returns the state after one more record. A record at or before {@code state.throughOffset()},
+   * or a repeated change id, changes no object.
+   *
+   * @param state the state so far
+   * @param offset log offset of the record
+   * @param change the record
+   */
+  public static ConfigurationState apply(
+      ConfigurationState state, long offset, ChangeRecord change) {
+    if (offset <= state.throughOffset()) {
+      return state;
+    }
+    if (state.decision(change.changeId()).isPresent()) {
+      return skip(state, offset);
+    }
+    SortedMap<ObjectKey, ConfigurationState.VersionedObject> objects =
+        changed(state, offset, change);
+    List<String> rejections = staleBases(state, change);
+    if (rejections.isEmpty()) {
+      rejections = ConfigurationCheck.faults(objects);
+    }
+    var decision =
+        new ConfigurationState.ChangeDecision(
+            change.changeId(), offset, change.author(), rejections);
+    boolean accepted = decision.isAccepted();
+    return new ConfigurationState(
+        offset,
+        accepted ? offset : state.version(),
+        accepted ? objects : state.objects(),
+        remember(state.decisions(), decision));
+  }
+
+  /** Returns the state after a record that is no change, such as a snapshot. */
+  public static ConfigurationState skip(ConfigurationState state, long offset) {
+    if (offset <= state.throughOffset()) {
+      return state;
+    }
+    return new ConfigurationState(offset, state.version(), state.objects(), state.decisions());
+  }
+
+  private static SortedMap<ObjectKey, ConfigurationState.VersionedObject> changed(
+      ConfigurationState state, long offset, ChangeRecord change) {
+    SortedMap<ObjectKey, ConfigurationState.VersionedObject> objects =
+        new TreeMap<>(state.objects());
+    change.deletes().forEach(objects::remove);
+    for (ConfigurationObject object : change.upserts()) {
+      objects.put(object.key(), new ConfigurationState.VersionedObject(object, offset));
+    }
+    return objects;
+  }
+
+  private static List<String> staleBases(ConfigurationState state, ChangeRecord change) {
+    List<String> stale = new ArrayList<>();
+    for (ObjectKey key : touched(change)) {
+      long current = state.offsetOf(key);
+      long base = baseOf(change, key);
+      if (base != current) {
+        stale.add(key + " is at offset " + current + ", the change is based on " + base);
+      }
+    }
+    return stale;
+  }
+
+  private static List<ObjectKey> touched(ChangeRecord change) {
+    List<ObjectKey> keys = new ArrayList<>(change.deletes());
+    change.upserts().forEach(object -> keys.add(object.key()));
+    return keys;
+  }
+
+  private static long baseOf(ChangeRecord change, ObjectKey key) {
+    return change.bases().stream()
+        .filter(base -> base.key().equals(key))
+        .mapToLong(ChangeRecord.Base::offset)
+        .findFirst()
+        .orElse(ConfigurationState.ABSENT_OFFSET);
+  }
+
+  private static List<ConfigurationState.ChangeDecision> remember(
+      List<ConfigurationState.ChangeDecision> decisions,
+      ConfigurationState.ChangeDecision decision) {
+    List<ConfigurationState.ChangeDecision> all = new ArrayList<>(decisions);
+    all.add(decision);
+    int surplus = Math.max(0, all.size() - ConfigurationState.REMEMBERED_DECISIONS);
+    return all.subList(surplus, all.size());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/RendezvousHash.java
@@ -0,0 +1,33 @@
+package org.dragonflyhill.core;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Ranks names for a key so that a change of one name moves few keys.
+ *
+ * <pre>{@code
+ * String leader = RendezvousHash.rank("runner-1", liveNodes).getFirst();
+ * }</pre>
+ *
+ * <p>Stateless and thread-safe; no argument may be null.
+ */
+public final class RendezvousHash {
+
+  private RendezvousHash() {}
+
+  /** Returns the names, the one that leads for the key first. */
+  public static List<String> rank(String key, Collection<String> names) {
+    List<String> ranked = new ArrayList<>(names);
+    Comparator<String> byWeight = Comparator.comparingLong(name -> weight(key, name));
+    ranked.sort(byWeight.reversed().thenComparing(Comparator.naturalOrder()));
+    return ranked;
+  }
+
+  private static long weight(String key, String name) {
+    return Hashing.komihash5_0().hashStream().putString(key).putString(name).getAsLong();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
@@ -0,0 +1,108 @@
+package org.dragonflyhill.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflyhill.core.ConfigurationObject;
+import org.dragonflyhill.platform.Json;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** The operators' interface of a node, JSON over HTTP. Thread-safe; nothing is null. */
+public final class AdminApi implements AutoCloseable {
+
+  private final DaemonSettings settings;
+  private final ConfigurationController configuration;
+  private final ClaimController claims;
+  private final DrainController drain;
+  private final DisposableServer server;
+
+  /** Starts to listen. */
+  public AdminApi(
+      DaemonSettings settings,
+      ConfigurationController configuration,
+      ClaimController claims,
+      DrainController drain) {
+    this.settings = settings;
+    this.configuration = configuration;
+    this.claims = claims;
+    this.drain = drain;
+    server =
+        HttpServer.create()
+            .host(settings.host())
+            .port(settings.adminPort())
+            .route(
+                routes ->
+                    routes
+                        .get("/admin/status", (request, response) -> json(response, status()))
+                        .get(
+                            "/admin/configuration",
+                            (request, response) -> json(response, configuration()))
+                        .get(
+                            "/admin/requests",
+                            (request, response) -> json(response, claims.entries())))
+            .bindNow();
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return server.port();
+  }
+
+  @Override
+  public void close() {
+    server.disposeNow();
+  }
+
+  private Status status() {
+    return new Status(
+        settings.node(),
+        settings.availabilityZone(),
+        configuration.state().version(),
+        configuration.state().throughOffset(),
+        drain.runningRequests(),
+        drain.notReadyReason());
+  }
+
+  private Configuration configuration() {
+    List<ConfigurationObject> objects =
+        configuration.state().objects().values().stream()
+            .map(versioned -> versioned.object())
+            .toList();
+    return new Configuration(configuration.state().version(), objects);
+  }
+
+  private static Publisher<Void> json(HttpServerResponse response, Object body) {
+    byte[] bytes = Json.write(body).getBytes(StandardCharsets.UTF_8);
+    return response.header("Content-Type", "application/json").sendByteArray(Mono.just(bytes));
+  }
+
+  /**
+   * State of a node.
+   *
+   * @param node name
+   * @param availabilityZone availability zone
+   * @param configurationVersion offset of the last accepted change, -1 for none
+   * @param configurationOffset offset of the last change read, -1 for none
+   * @param runningRequests number of running requests
+   * @param notReadyReason why it is not ready; empty if it is
+   */
+  public record Status(
+      String node,
+      String availabilityZone,
+      long configurationVersion,
+      long configurationOffset,
+      int runningRequests,
+      Optional<String> notReadyReason) {}
+
+  /**
+   * Configuration in force on a node.
+   *
+   * @param version offset of the last accepted change
+   * @param objects all objects
+   */
+  public record Configuration(long version, List<ConfigurationObject> objects) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CacheController.java
@@ -0,0 +1,143 @@
+package org.dragonflyhill.daemon;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dragonflyhill.core.ConfigurationObject;
+import org.dragonflyhill.core.PieceIndex;
+import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.platform.CachePort;
+import org.dragonflyhill.platform.PlatformError;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Keeps the index of cached pieces in step with the runners' cache events.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class CacheController implements AutoCloseable {
+
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(250);
+  private static final int POLLS_AT_ONCE = 32;
+
+  private final ConfigurationController configuration;
+  private final CachePort caches;
+  private final NodeMetrics metrics;
+  private final PieceIndex index = new PieceIndex();
+  private final Map<String, Long> nextSequences = new HashMap<>();
+  private Disposable polling = () -> {};
+
+  /** Creates a controller that does not poll yet. */
+  public CacheController(
+      ConfigurationController configuration, CachePort caches, NodeMetrics metrics) {
+    this.configuration = configuration;
+    this.caches = caches;
+    this.metrics = metrics;
+    metrics.gauge("cache.index_entries", this::size);
+  }
+
+  /** Starts to poll the runners. */
+  public synchronized void start() {
+    polling =
+        Flux.interval(Duration.ZERO, POLL_INTERVAL)
+            .onBackpressureDrop()
+            .concatMap(tick -> pollAll(), 1)
+            .subscribe();
+  }
+
+  /** Returns how many leading pieces of a prompt a runner probably has. */
+  public synchronized int prefixPieces(String runner, List<PieceKeys.Piece> pieces) {
+    return index.prefixPieces(runner, pieces);
+  }
+
+  /** Notes that a runner computed the pieces of a prompt. */
+  public synchronized void computed(String runner, List<PieceKeys.Piece> pieces) {
+    pieces.forEach(piece -> index.add(runner, piece.id()));
+  }
+
+  @Override
+  public synchronized void close() {
+    polling.dispose();
+  }
+
+  private synchronized long size() {
+    return index.size();
+  }
+
+  private Mono<Void> pollAll() {
+    List<ConfigurationObject.Runner> runners =
+        configuration.state().all(ConfigurationObject.Runner.class);
+    forgetOthers(runners);
+    return Flux.fromIterable(runners).flatMap(this::poll, POLLS_AT_ONCE).then();
+  }
+
+  private synchronized void forgetOthers(List<ConfigurationObject.Runner> runners) {
+    Set<String> gone = new HashSet<>(nextSequences.keySet());
+    runners.forEach(runner -> gone.remove(runner.name()));
+    gone.forEach(nextSequences::remove);
+    gone.forEach(index::forget);
+  }
+
+  private Mono<Void> poll(ConfigurationObject.Runner runner) {
+    long from;
+    synchronized (this) {
+      from = nextSequences.getOrDefault(runner.name(), -1L);
+    }
+    if (from < 0) {
+      return resync(runner);
+    }
+    return caches
+        .events(runner.address(), from, Duration.ZERO)
+        .flatMap(answer -> answer.isRight() ? apply(runner, from, answer.get()) : Mono.empty());
+  }
+
+  private Mono<Void> apply(ConfigurationObject.Runner runner, long from, CachePort.Events events) {
+    if (hasGap(from, events)) {
+      metrics.count("cache.event_gaps");
+      return resync(runner);
+    }
+    synchronized (this) {
+      for (CachePort.Event event : events.events()) {
+        if (event.isPresent()) {
+          index.add(runner.name(), event.pieceId());
+        } else {
+          index.remove(runner.name(), event.pieceId());
+        }
+      }
+      nextSequences.put(runner.name(), events.next());
+    }
+    return Mono.empty();
+  }
+
+  private static boolean hasGap(long from, CachePort.Events events) {
+    long expected = from;
+    for (CachePort.Event event : events.events()) {
+      if (event.sequence() != expected) {
+        return true;
+      }
+      expected++;
+    }
+    return events.next() != expected;
+  }
+
+  private Mono<Void> resync(ConfigurationObject.Runner runner) {
+    return caches
+        .contents(runner.address())
+        .doOnNext(answer -> replace(runner.name(), answer))
+        .then();
+  }
+
+  private synchronized void replace(
+      String runner, Either<PlatformError, CachePort.Contents> answer) {
+    if (answer.isRight()) {
+      index.replace(runner, answer.get().pieceIds());
+      nextSequences.put(runner, answer.get().nextSequence());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClassificationFilter.java
@@ -0,0 +1,101 @@
+package org.dragonflyhill.daemon;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.dragonflyhill.core.ConfigurationObject.Operation;
+import org.dragonflyhill.core.ConfigurationObject.Rule;
+import org.dragonflyhill.core.ConfigurationObject.Service;
+import org.dragonflyhill.core.ConfigurationObject.Urgency;
+import org.dragonflyhill.core.ObjectKind;
+import org.dragonflyhill.core.Refusal;
+import org.dragonflyhill.core.RefusalReason;
+import reactor.core.publisher.Mono;
+
+/**
+ * Decides how a request is treated: urgency, whether it may repeat, and its deadline. Thread-safe;
+ * nothing is null.
+ */
+public final class ClassificationFilter implements RequestFilter {
+
+  private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(60);
+  private static final String DEFAULT_TASK = "default";
+
+  private final ConfigurationController configuration;
+  private final InstantSource clock;
+
+  /** Creates a filter. */
+  public ClassificationFilter(ConfigurationController configuration, InstantSource clock) {
+    this.configuration = configuration;
+    this.clock = clock;
+  }
+
+  @Override
+  public Mono<Reply> handle(RequestContext context, Handler next) {
+    return classify(context)
+        .fold(
+            refusal -> Mono.just((Reply) new Reply.Problem(refusal)),
+            treatment -> next.handle(context.withTreatment(treatment)));
+  }
+
+  private Either<Refusal, RequestContext.Treatment> classify(RequestContext context) {
+    String task = context.headers().task().orElse(DEFAULT_TASK);
+    Optional<Rule> rule =
+        configuration.state().all(Rule.class).stream()
+            .filter(candidate -> candidate.task().equals(task))
+            .findFirst();
+    if (rule.isEmpty() && context.headers().task().isPresent()) {
+      return Either.left(
+          Refusal.notRun(
+              RefusalReason.BAD_REQUEST, HttpFrontend.TASK_HEADER + ": no rule for this task"));
+    }
+    Instant deadline = deadline(context, rule);
+    if (!clock.instant().isBefore(deadline)) {
+      return Either.left(
+          Refusal.notRun(RefusalReason.DEADLINE_PASSED, "no time was left on arrival"));
+    }
+    return isRepeatable(context.call())
+        .map(
+            repeatable ->
+                new RequestContext.Treatment(
+                    task,
+                    rule.map(Rule::urgency).orElse(Urgency.ORDINARY),
+                    repeatable && rule.map(Rule::repeatable).orElse(true),
+                    rule.map(Rule::firstTokenWeight).orElse(1.0),
+                    rule.map(Rule::recomputeWeight).orElse(1.0),
+                    deadline));
+  }
+
+  private static Instant deadline(RequestContext context, Optional<Rule> rule) {
+    long millis =
+        context
+            .headers()
+            .deadlineMillis()
+            .or(() -> rule.map(Rule::deadlineMillis))
+            .orElse(DEFAULT_DEADLINE.toMillis());
+    return context.receivedAt().plusMillis(millis);
+  }
+
+  private Either<Refusal, Boolean> isRepeatable(Call call) {
+    return switch (call) {
+      case Call.Completion completion -> Either.right(true);
+      case Call.OutcomeQuery query -> Either.right(true);
+      case Call.ServiceCall service -> operation(service).map(Operation::repeatable);
+    };
+  }
+
+  private Either<Refusal, Operation> operation(Call.ServiceCall call) {
+    return configuration
+        .find(ObjectKind.SERVICE, call.service(), Service.class)
+        .flatMap(service -> service.operation(call.operation()))
+        .map(Either::<Refusal, Operation>right)
+        .orElseGet(
+            () ->
+                Either.left(
+                    Refusal.notRun(
+                        RefusalReason.NOT_FOUND,
+                        "no such operation: " + call.service() + "/" + call.operation())));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -0,0 +1,90 @@
+package org.dragonflyhill.daemon;
+
+import java.time.Duration;
+import java.util.List;
+import org.dragonflyhill.platform.SettingSpec;
+import org.dragonflyhill.platform.SettingValues;
+
+/**
+ * Settings of the daemon, all checked.
+ *
+ * <p>Immutable and thread-safe; no component is null.
+ *
+ * @param node name of this node
+ * @param availabilityZone name of its availability zone
+ * @param host IP number to listen on
+ * @param httpPort port for callers, 0 for any
+ * @param adminPort port for operators, 0 for any
+ * @param peerPort port for other nodes, 0 for any
+ * @param logAddress address of the log service
+ * @param hostListAddress address of the host list
+ * @param secret key shared by all nodes
+ * @param maxBodyBytes largest accepted body
+ * @param maxConnections most connections of callers
+ * @param bodyTimeout time limit of receiving a body
+ * @param platformTimeout time limit of a call to the platform
+ * @param balancerDelay how long a stopping node still accepts requests
+ */
+public record DaemonSettings(
+    String node,
+    String availabilityZone,
+    String host,
+    int httpPort,
+    int adminPort,
+    int peerPort,
+    String logAddress,
+    String hostListAddress,
+    String secret,
+    int maxBodyBytes,
+    int maxConnections,
+    Duration bodyTimeout,
+    Duration platformTimeout,
+    Duration balancerDelay) {
+
+  private static final int MIN_SECRET_LENGTH = 16;
+  private static final int MAX_PORT = 65_535;
+
+  /** The settings that exist. */
+  public static final List<SettingSpec> SPECS =
+      List.of(
+          SettingSpec.required("node", "name of this node"),
+          SettingSpec.required("zone", "name of the availability zone of this node"),
+          SettingSpec.optional("host", "127.0.0.1", "IP number to listen on"),
+          SettingSpec.optional("http-port", "8080", "port for callers, 0 for any"),
+          SettingSpec.optional("admin-port", "8081", "port for operators, 0 for any"),
+          SettingSpec.optional("peer-port", "8082", "port for other nodes, 0 for any"),
+          SettingSpec.required("log", "host:port of the log service"),
+          SettingSpec.required("host-list", "host:port of the host list"),
+          SettingSpec.secret("secret", "key shared by all nodes, 16 characters or more"),
+          SettingSpec.optional("max-body-bytes", "8388608", "largest body of a request, in bytes"),
+          SettingSpec.optional("max-connections", "10000", "most connections of callers"),
+          SettingSpec.optional(
+              "body-timeout-millis", "10000", "time limit of receiving a body, in milliseconds"),
+          SettingSpec.optional(
+              "platform-timeout-millis",
+              "2000",
+              "time limit of a call to the platform, in milliseconds"),
+          SettingSpec.optional(
+              "balancer-delay-millis",
+              "3000",
+              "time for which a stopping node still accepts requests, in milliseconds"));
+
+  /** Reads the settings; what is wrong is in {@link SettingValues#faults()} afterwards. */
+  public static DaemonSettings from(SettingValues values) {
+    return new DaemonSettings(
+        values.name("node"),
+        values.name("zone"),
+        values.text("host"),
+        values.integer("http-port", 0, MAX_PORT),
+        values.integer("admin-port", 0, MAX_PORT),
+        values.integer("peer-port", 0, MAX_PORT),
+        values.address("log"),
+        values.address("host-list"),
+        values.secret("secret", MIN_SECRET_LENGTH),
+        values.integer("max-body-bytes", 1_024, 1 << 30),
+        values.integer("max-connections", 1, 1_000_000),
+        values.millis("body-timeout-millis"),
+        values.millis("platform-timeout-millis"),
+        values.millis("balancer-delay-millis"));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Main.java
@@ -0,0 +1,44 @@
+package org.dragonflyhill.daemon;
+
+import java.time.InstantSource;
+import java.util.concurrent.CountDownLatch;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.SettingValues;
+
+/** The program {@code dragonflyhilld}. Stateless and thread-safe. */
+public final class Main {
+
+  private static final int EXIT_USAGE = 2;
+
+  private Main() {}
+
+  /** Reads the settings, starts a node and stops it gracefully on a termination signal. */
+  public static void main(String[] args) throws InterruptedException {
+    SettingValues values = SettingValues.read(DaemonSettings.SPECS, args, System.getenv());
+    if (values.isHelpWanted()) {
+      System.out.print(SettingValues.help("dragonflyhilld", DaemonSettings.SPECS));
+      return;
+    }
+    DaemonSettings settings = DaemonSettings.from(values);
+    if (!values.faults().isEmpty()) {
+      values.faults().forEach(fault -> System.err.println("dragonflyhilld: " + fault));
+      System.exit(EXIT_USAGE);
+    }
+    if (values.isPrintWanted()) {
+      System.out.print(values.printed());
+      return;
+    }
+    Node node = new Node(settings, InstantSource.system());
+    Runtime.getRuntime().addShutdownHook(new Thread(node::stopGracefully, "stop"));
+    System.out.println(Json.write(new Listening(node.httpPort(), node.adminPort())));
+    new CountDownLatch(1).await();
+  }
+
+  /**
+   * The line that the program prints once it listens.
+   *
+   * @param httpPort port for callers
+   * @param adminPort port for operators
+   */
+  private record Listening(int httpPort, int adminPort) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/MembershipController.java
@@ -0,0 +1,65 @@
+package org.dragonflyhill.daemon;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import org.dragonflyhill.platform.HostListPort;
+import org.dragonflyhill.platform.PlatformError;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+
+/**
+ * Keeps the list of live and leaving hosts; an answer that does not come leaves the last one in
+ * force.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class MembershipController implements AutoCloseable {
+
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
+
+  private final HostListPort hostList;
+  private final NodeMetrics metrics;
+  private volatile List<HostListPort.Host> hosts = List.of();
+  private Disposable polling = () -> {};
+
+  /** Creates a controller that does not poll yet. */
+  public MembershipController(HostListPort hostList, NodeMetrics metrics) {
+    this.hostList = hostList;
+    this.metrics = metrics;
+    metrics.gauge("membership.hosts", () -> hosts.size());
+  }
+
+  /** Starts to poll. */
+  public synchronized void start() {
+    polling =
+        Flux.interval(Duration.ZERO, POLL_INTERVAL)
+            .onBackpressureDrop()
+            .concatMap(tick -> hostList.hosts(), 1)
+            .subscribe(this::update);
+  }
+
+  /** Returns all hosts as last listed. */
+  public List<HostListPort.Host> hosts() {
+    return hosts;
+  }
+
+  /** Returns the hosts of a role that are listed as live. */
+  public List<HostListPort.Host> live(HostListPort.Role role) {
+    return hosts.stream()
+        .filter(host -> host.role() == role)
+        .filter(host -> host.state() == HostListPort.State.LIVE)
+        .toList();
+  }
+
+  @Override
+  public synchronized void close() {
+    polling.dispose();
+  }
+
+  private void update(Either<PlatformError, List<HostListPort.Host>> answer) {
+    answer
+        .peek(listed -> hosts = List.copyOf(listed))
+        .peekLeft(error -> metrics.count("membership.failed_polls"));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -0,0 +1,127 @@
+package org.dragonflyhill.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.platform.Closer;
+import org.dragonflyhill.platform.HttpCaller;
+import org.dragonflyhill.platform.HttpHostList;
+import org.dragonflyhill.platform.HttpLog;
+import org.dragonflyhill.platform.HttpRunner;
+import org.dragonflyhill.platform.HttpService;
+import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.platform.LogPort;
+import reactor.core.publisher.Flux;
+
+/**
+ * One entry host's part of the system, put together from its settings.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class Node implements AutoCloseable {
+
+  private static final Logger LOGGER = LogManager.getLogger(Node.class);
+  private static final int MAX_CONNECTIONS_PER_ENDPOINT = 500;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(30);
+  private static final Duration STARTED_POLL = Duration.ofMillis(50);
+
+  private final Closer closer = new Closer();
+  private final DaemonSettings settings;
+  private final DrainController drain = new DrainController();
+  private final HttpFrontend frontend;
+  private final AdminApi admin;
+
+  /**
+   * Puts a node together and starts it.
+   *
+   * @param settings checked settings
+   * @param clock gives the present time
+   */
+  public Node(DaemonSettings settings, InstantSource clock) {
+    this.settings = settings;
+    NodeMetrics metrics = new NodeMetrics();
+    HttpCaller platformCaller =
+        closer.add(new HttpCaller("platform", MAX_CONNECTIONS_PER_ENDPOINT, CONNECT_TIMEOUT));
+    HttpCaller endpointCaller =
+        closer.add(new HttpCaller("endpoints", MAX_CONNECTIONS_PER_ENDPOINT, CONNECT_TIMEOUT));
+    LogPort log = new HttpLog(platformCaller, settings.logAddress(), settings.platformTimeout());
+    var hostList =
+        new HttpHostList(platformCaller, settings.hostListAddress(), settings.platformTimeout());
+    var runners = new HttpRunner(endpointCaller, settings.platformTimeout());
+
+    var configuration = closer.add(new ConfigurationController(log, metrics));
+    var claims = closer.add(new ClaimController(log, settings.node(), metrics));
+    var membership = closer.add(new MembershipController(hostList, metrics));
+    var endpoints = closer.add(new EndpointController(configuration, membership, runners, clock));
+    var cache = closer.add(new CacheController(configuration, runners, metrics));
+
+    final var pieceKeys =
+        new PieceKeys(
+            settings.secret().getBytes(StandardCharsets.UTF_8), PieceKeys.DEFAULT_PIECE_TOKENS);
+    final var completions =
+        new CompletionHandler(
+            configuration, endpoints, cache, runners, pieceKeys, new CompletionRelay(), clock);
+    final var services =
+        new ServiceHandler(
+            configuration, endpoints, new HttpService(endpointCaller, SERVICE_TIMEOUT), clock);
+    configuration.start();
+    claims.start();
+    membership.start();
+    endpoints.start();
+    cache.start();
+    List<RequestFilter> filters =
+        List.of(
+            new AuthenticationFilter(configuration),
+            new ClassificationFilter(configuration, clock),
+            new AdmissionFilter(drain),
+            new ClaimFilter(claims, clock));
+    var chain = RequestFilter.chain(filters, new Dispatcher(completions, services));
+    frontend = closer.add(new HttpFrontend(settings, chain, metrics, drain, clock));
+    admin = closer.add(new AdminApi(settings, configuration, claims, drain));
+    markStarted(configuration);
+    LogEvent.of("node_started")
+        .with("node", settings.node())
+        .with("http_port", frontend.port())
+        .with("admin_port", admin.port())
+        .info(LOGGER);
+  }
+
+  /** Returns the port for callers. */
+  public int httpPort() {
+    return frontend.port();
+  }
+
+  /** Returns the port for operators. */
+  public int adminPort() {
+    return admin.port();
+  }
+
+  /** Stops without cutting a request: not ready, wait for the balancer, finish all, close. */
+  public void stopGracefully() {
+    drain.stop();
+    LogEvent.of("node_stopping").with("running", drain.runningRequests()).info(LOGGER);
+    reactor.core.publisher.Mono.delay(settings.balancerDelay()).block();
+    drain.whenIdle().block();
+    LogEvent.of("node_stopped").with("node", settings.node()).info(LOGGER);
+    close();
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+
+  private void markStarted(ConfigurationController configuration) {
+    var waiting =
+        Flux.interval(STARTED_POLL)
+            .filter(tick -> configuration.state().version() >= 0)
+            .next()
+            .subscribe(tick -> drain.started());
+    closer.add(waiting::dispose);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/NodeMetrics.java
@@ -0,0 +1,100 @@
+package org.dragonflyhill.daemon;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.dragonflyhill.core.RefusalReason;
+
+/**
+ * Counters, timers and gauges of a node.
+ *
+ * <pre>{@code
+ * metrics.refused(RefusalReason.QUEUE_FULL);
+ * }</pre>
+ *
+ * <p>Names carry no organisation and no key. Thread-safe; no argument may be null.
+ */
+public final class NodeMetrics {
+
+  private final MetricRegistry registry = new MetricRegistry();
+  private final PrometheusRegistry prometheus = new PrometheusRegistry();
+  private final ObjectMapper mapper =
+      new ObjectMapper()
+          .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+
+  /** Creates metrics with a counter for each refusal reason. */
+  public NodeMetrics() {
+    for (RefusalReason reason : RefusalReason.values()) {
+      registry.counter("refused." + reason.code());
+    }
+    prometheus.register(new DropwizardExports(registry));
+  }
+
+  /** Counts a refusal. */
+  public void refused(RefusalReason reason) {
+    registry.counter("refused." + reason.code()).inc();
+  }
+
+  /** Counts a retry. */
+  public void retried(String reason) {
+    registry.counter("retried." + reason.toLowerCase(Locale.ROOT)).inc();
+  }
+
+  /** Counts something else. */
+  public void count(String name) {
+    registry.counter(name).inc();
+  }
+
+  /** Counts several at once. */
+  public void count(String name, long amount) {
+    registry.counter(name).inc(amount);
+  }
+
+  /** Returns the value of a counter. */
+  public long counted(String name) {
+    return registry.counter(name).getCount();
+  }
+
+  /** Returns the timer of a stage. */
+  public Timer timer(String stage) {
+    return registry.timer("stage." + stage);
+  }
+
+  /** Adds a gauge. */
+  public void gauge(String name, Supplier<Number> value) {
+    registry.gauge(name, () -> (Gauge<Number>) value::get);
+  }
+
+  /** Returns all metrics as JSON. */
+  public String json() {
+    try {
+      return mapper.writeValueAsString(registry);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("metrics have no JSON form", e);
+    }
+  }
+
+  /** Returns all metrics in the text form that scrapers read. */
+  public String text() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.builder().build().write(out, prometheus.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException("metrics have no text form", e);
+    }
+    return out.toString(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ServiceHandler.java
@@ -0,0 +1,72 @@
+package org.dragonflyhill.daemon;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.dragonflyhill.core.ConfigurationObject.Service;
+import org.dragonflyhill.core.ObjectKind;
+import org.dragonflyhill.core.Refusal;
+import org.dragonflyhill.core.RefusalReason;
+import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.platform.ServicePort;
+import reactor.core.publisher.Mono;
+
+/** Calls plain services, each request at most once. Thread-safe; nothing is null. */
+public final class ServiceHandler {
+
+  private final ConfigurationController configuration;
+  private final EndpointController endpoints;
+  private final ServicePort services;
+  private final InstantSource clock;
+
+  /** Creates a handler. */
+  public ServiceHandler(
+      ConfigurationController configuration,
+      EndpointController endpoints,
+      ServicePort services,
+      InstantSource clock) {
+    this.configuration = configuration;
+    this.endpoints = endpoints;
+    this.services = services;
+    this.clock = clock;
+  }
+
+  /** Calls the service. */
+  public Mono<Reply> handle(RequestContext context, Call.ServiceCall call) {
+    Instant now = clock.instant();
+    Optional<Service> service =
+        configuration
+            .find(ObjectKind.SERVICE, call.service(), Service.class)
+            .filter(s -> endpoints.isUsable(s.name(), s.administrativeState(), now));
+    if (service.isEmpty()) {
+      return Mono.just(
+          new Reply.Problem(
+              Refusal.notRun(RefusalReason.NO_ENDPOINT, call.service() + " takes no requests")));
+    }
+    var request =
+        new ServicePort.Call(
+            context.requestId(),
+            context.requiredOrganisation().name(),
+            call.operation(),
+            call.body());
+    return services
+        .call(service.get().address(), request)
+        .map(answer -> reply(service.get(), answer));
+  }
+
+  private Reply reply(Service service, Either<PlatformError, ServicePort.Answer> answer) {
+    if (answer.isRight()) {
+      endpoints.succeeded(service.name());
+      return new Reply.Json(answer.get().status(), answer.get().body());
+    }
+    PlatformError error = answer.getLeft();
+    endpoints.failed(service.name(), clock.instant());
+    Refusal refusal =
+        error.isWithoutEffect()
+            ? Refusal.notRun(RefusalReason.ENDPOINT_FAILED, service.name() + " was not reached")
+            : Refusal.unknown(
+                RefusalReason.ENDPOINT_FAILED, service.name() + " gave no usable answer");
+    return new Reply.Problem(refusal);
+  }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/ProcessHelper.java
@@ -0,0 +1,152 @@
+package org.dragonflyhill.proofs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.dragonflyhill.platform.Json;
+
+/** One program under test, run as a process of its own that a test may kill, freeze or stop. */
+final class ProcessHelper implements AutoCloseable {
+
+  private static final long STOP_SECONDS = 60;
+
+  private final Process process;
+  private final JsonNode listening;
+  private final Path errorFile;
+
+  private ProcessHelper(Process process, JsonNode listening, Path errorFile) {
+    this.process = process;
+    this.listening = listening;
+    this.errorFile = errorFile;
+  }
+
+  /** Starts a program and waits until it says on which ports it listens. */
+  static ProcessHelper start(Class<?> main, List<String> args) {
+    try {
+      Path errorFile = Files.createTempFile("dragonflyhill-", ".log");
+      errorFile.toFile().deleteOnExit();
+      Process process =
+          new ProcessBuilder(command(main, args)).redirectError(errorFile.toFile()).start();
+      BufferedReader out =
+          new BufferedReader(
+              new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+      String line = out.readLine();
+      if (line == null) {
+        throw new IllegalStateException(
+            main.getName() + " ended at once: " + Files.readString(errorFile));
+      }
+      return new ProcessHelper(process, Json.readTree(line).get(), errorFile);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Runs a program to its end and returns its exit code and output. */
+  static Ended run(Class<?> main, List<String> args) {
+    try {
+      Process process = new ProcessBuilder(command(main, args)).redirectErrorStream(true).start();
+      String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      return new Ended(process.waitFor(), output);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static List<String> command(Class<?> main, List<String> args) {
+    List<String> command = new ArrayList<>();
+    command.add(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
+    command.addAll(
+        List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", classPath()));
+    command.add(main.getName());
+    command.addAll(args);
+    return command;
+  }
+
+  private static String classPath() {
+    return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+  }
+
+  /** Returns a port from the line that the program printed. */
+  int port(String name) {
+    return listening.path(name).asInt();
+  }
+
+  /** Returns {@code host:port} for a port from the line that the program printed. */
+  String address(String name) {
+    return "127.0.0.1:" + port(name);
+  }
+
+  /** Ends the process without any warning. */
+  void kill() {
+    process.destroyForcibly();
+    await();
+  }
+
+  /** Stops the process from running, as a long pause would. */
+  void freeze() {
+    signal("-STOP");
+  }
+
+  /** Lets a frozen process run on. */
+  void resume() {
+    signal("-CONT");
+  }
+
+  /** Asks the process to stop by itself; returns at once. */
+  void terminate() {
+    process.destroy();
+  }
+
+  /** Waits for the end of the process. */
+  void await() {
+    try {
+      if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+        throw new IllegalStateException("process " + process.pid() + " did not end");
+      }
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Returns what the process wrote to its log. */
+  String log() {
+    try {
+      return Files.readString(errorFile);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+
+  private void signal(String signal) {
+    try {
+      new ProcessBuilder("kill", signal, String.valueOf(process.pid())).start().waitFor();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Exit code and output of a program that ended. */
+  record Ended(int exitCode, String output) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/Faults.java
@@ -0,0 +1,37 @@
+package org.dragonflyhill.standins;
+
+/**
+ * Failures that a stand-in causes, as set over its admin port.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param delayMillis wait before each answer, in milliseconds
+ * @param dropAnswers number of next calls whose effect happens but whose connection is cut
+ * @param refuse number of next calls that are refused without effect, -1 for all
+ * @param eventGapEvery one of this many cache events is lost, 0 for none
+ * @param eventLagMillis age that a cache event reaches before it is told, in milliseconds
+ * @param loadLagMillis age of the load that is told, in milliseconds
+ * @param linkBytesPerSecond bandwidth of transfers, 0 for unlimited
+ * @param isDiskFull whether writes fail for want of room
+ * @param cutAfterTokens tokens after which a completion's connection is cut, 0 for never
+ * @param wrongWeightVersion whether completions carry another weight version than asked for
+ * @param truncateReads whether pieces are returned without their last byte
+ * @param ignoreFencing whether orders with an old fencing token are taken
+ */
+public record Faults(
+    long delayMillis,
+    int dropAnswers,
+    int refuse,
+    int eventGapEvery,
+    long eventLagMillis,
+    long loadLagMillis,
+    long linkBytesPerSecond,
+    boolean isDiskFull,
+    int cutAfterTokens,
+    boolean wrongWeightVersion,
+    boolean truncateReads,
+    boolean ignoreFencing) {
+
+  /** No failure. */
+  public static final Faults NONE = new Faults(0, 0, 0, 0, 0, 0, 0, false, 0, false, false, false);
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/HostListStandin.java
@@ -0,0 +1,23 @@
+package org.dragonflyhill.standins;
+
+import java.util.List;
+import org.dragonflyhill.platform.HttpHostList;
+import reactor.core.publisher.Mono;
+
+/**
+ * Stand-in of the host list: {@code GET /hosts} reads it, {@code PUT /hosts} replaces it.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class HostListStandin implements StandinServer.Handler {
+
+  private volatile HttpHostList.Listing listing = new HttpHostList.Listing(List.of());
+
+  @Override
+  public Mono<StandinReply> handle(StandinRequest request) {
+    if (request.method().equals("PUT")) {
+      listing = request.read(HttpHostList.Listing.class);
+    }
+    return Mono.just(StandinReply.json(listing));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/Main.java
@@ -0,0 +1,74 @@
+package org.dragonflyhill.standins;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.SettingSpec;
+import org.dragonflyhill.platform.SettingValues;
+
+/** The program {@code dragonflyhill-standin}, with a subcommand for each system. */
+public final class Main {
+
+  private static final int EXIT_USAGE = 2;
+  private static final int MAX_PORT = 65_535;
+  private static final List<String> KINDS = List.of("runner", "service", "log", "host-list");
+  private static final List<SettingSpec> SPECS =
+      List.of(
+          SettingSpec.optional("host", "127.0.0.1", "IP number to listen on"),
+          SettingSpec.optional("port", "0", "port of the stand-in, 0 for any"),
+          SettingSpec.optional("admin-port", "0", "port of its fault switches, 0 for any"),
+          SettingSpec.optional("slots", "8", "completions that a runner runs at once"),
+          SettingSpec.optional("cache-tokens", "64000", "tokens that a runner's cache holds"),
+          SettingSpec.optional(
+              "prefill-tokens-per-second", "20000", "prompt tokens that a runner computes"),
+          SettingSpec.optional("token-micros", "2000", "time of a generated token, in us"));
+
+  private Main() {}
+
+  /** Starts the stand-in named by the first argument and runs until it is ended. */
+  public static void main(String[] args) throws InterruptedException {
+    if (args.length == 0 || !KINDS.contains(args[0])) {
+      System.err.println("usage: dragonflyhill-standin " + String.join("|", KINDS) + " [flags]");
+      System.err.print(SettingValues.help("dragonflyhill-standin KIND", SPECS));
+      System.exit(EXIT_USAGE);
+    }
+    String[] flags = Arrays.copyOfRange(args, 1, args.length);
+    SettingValues values = SettingValues.read(SPECS, flags, System.getenv());
+    Standins standins = new Standins(values.text("host"), InstantSource.system());
+    int port = values.integer("port", 0, MAX_PORT);
+    int adminPort = values.integer("admin-port", 0, MAX_PORT);
+    RunnerStandin.Engine engine = engine(values);
+    if (!values.faults().isEmpty()) {
+      values.faults().forEach(fault -> System.err.println("dragonflyhill-standin: " + fault));
+      System.exit(EXIT_USAGE);
+    }
+    StandinServer server =
+        switch (args[0]) {
+          case "runner" -> standins.runner(port, adminPort, engine);
+          case "service" -> standins.service(port, adminPort);
+          case "log" -> standins.log(port, adminPort);
+          default -> standins.hostList(port, adminPort);
+        };
+    System.out.println(Json.write(new Listening(server.port(), server.adminPort())));
+    new CountDownLatch(1).await();
+  }
+
+  private static RunnerStandin.Engine engine(SettingValues values) {
+    return new RunnerStandin.Engine(
+        values.integer("slots", 1, 10_000),
+        values.integer("cache-tokens", 1, Integer.MAX_VALUE),
+        values.integer("prefill-tokens-per-second", 1, Integer.MAX_VALUE),
+        Duration.ofNanos(1_000L * values.integer("token-micros", 1, Integer.MAX_VALUE)));
+  }
+
+  /**
+   * The line that the program prints once it listens.
+   *
+   * @param port port of the stand-in
+   * @param adminPort port of its fault switches
+   */
+  private record Listening(int port, int adminPort) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/PrefixCache.java
@@ -0,0 +1,93 @@
+package org.dragonflyhill.standins;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.dragonflyhill.platform.CachePort;
+
+/**
+ * Prefix cache of the runner stand-in: pieces in order of use, the oldest evicted first.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class PrefixCache {
+
+  private final long capacityTokens;
+  private final Map<String, Integer> pieces = new LinkedHashMap<>(16, 0.75f, true);
+  private final List<CachePort.Event> events = new ArrayList<>();
+  private final Map<Long, Long> eventTimes = new HashMap<>();
+  private long usedTokens;
+
+  /** Creates a cache of a capacity in tokens. */
+  public PrefixCache(long capacityTokens) {
+    this.capacityTokens = capacityTokens;
+  }
+
+  /** Returns how many leading pieces are there, and counts them as used. */
+  public synchronized int use(List<String> pieceIds) {
+    int count = 0;
+    while (count < pieceIds.size() && pieces.get(pieceIds.get(count)) != null) {
+      count++;
+    }
+    return count;
+  }
+
+  /** Adds a piece, evicting others where there is no room. */
+  public synchronized void add(String pieceId, int tokens, long nowMillis) {
+    if (pieces.put(pieceId, tokens) == null) {
+      usedTokens += tokens;
+      note(pieceId, true, nowMillis);
+    }
+    while (usedTokens > capacityTokens && pieces.size() > 1) {
+      evictOldest(nowMillis);
+    }
+  }
+
+  /** Evicts everything. */
+  public synchronized void clear(long nowMillis) {
+    while (!pieces.isEmpty()) {
+      evictOldest(nowMillis);
+    }
+  }
+
+  /** Returns the ids of all pieces and the number of the next event. */
+  public synchronized CachePort.Contents contents() {
+    return new CachePort.Contents(events.size(), List.copyOf(pieces.keySet()));
+  }
+
+  /**
+   * Returns the events from a number on that are old enough.
+   *
+   * @param from number of the first event wanted
+   * @param lagMillis age at which an event is told, in milliseconds
+   * @param gapEvery one of this many events is lost, 0 for none
+   * @param nowMillis present time, milliseconds since the epoch
+   */
+  public synchronized CachePort.Events events(
+      long from, long lagMillis, int gapEvery, long nowMillis) {
+    List<CachePort.Event> told = new ArrayList<>();
+    long next = from;
+    while (next < events.size() && eventTimes.get(next) + lagMillis <= nowMillis) {
+      if (gapEvery == 0 || (next + 1) % gapEvery != 0) {
+        told.add(events.get((int) next));
+      }
+      next++;
+    }
+    return new CachePort.Events(next, told);
+  }
+
+  private void evictOldest(long nowMillis) {
+    Map.Entry<String, Integer> oldest = pieces.entrySet().iterator().next();
+    pieces.remove(oldest.getKey());
+    usedTokens -= oldest.getValue();
+    note(oldest.getKey(), false, nowMillis);
+  }
+
+  private void note(String pieceId, boolean isPresent, long nowMillis) {
+    long sequence = events.size();
+    events.add(new CachePort.Event(sequence, pieceId, isPresent));
+    eventTimes.put(sequence, nowMillis);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
@@ -0,0 +1,205 @@
+package org.dragonflyhill.standins;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.platform.HttpRunner;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.RunnerPort;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Stand-in of a model runner: batch slots, prefill time for what its prefix cache lacks, and a text
+ * that depends only on prompt and weight version.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class RunnerStandin implements StandinServer.Handler {
+
+  private static final Duration SLOT_POLL = Duration.ofMillis(1);
+
+  private final Engine engine;
+  private final PrefixCache cache;
+  private final Semaphore slots;
+  private final AtomicInteger queued = new AtomicInteger();
+  private final AtomicLong queuedTokens = new AtomicLong();
+  private final Supplier<Faults> faults;
+  private final Consumer<Object> recorder;
+  private final InstantSource clock;
+
+  /**
+   * Creates a stand-in.
+   *
+   * @param engine speed and size
+   * @param faults failures in force
+   * @param recorder takes a record of each completion
+   * @param clock present time
+   */
+  public RunnerStandin(
+      Engine engine, Supplier<Faults> faults, Consumer<Object> recorder, InstantSource clock) {
+    this.engine = engine;
+    this.faults = faults;
+    this.recorder = recorder;
+    this.clock = clock;
+    cache = new PrefixCache(engine.cacheTokens());
+    slots = new Semaphore(engine.slots());
+  }
+
+  @Override
+  public Mono<StandinReply> handle(StandinRequest request) {
+    return switch (request.method() + " " + request.path()) {
+      case "POST /v1/completions" ->
+          Mono.just(complete(request.read(RunnerPort.CompletionRequest.class)));
+      case "GET /load" -> Mono.just(StandinReply.json(load()));
+      case "GET /cache/events" -> Mono.just(StandinReply.json(events(request)));
+      case "GET /cache/contents" -> Mono.just(StandinReply.json(cache.contents()));
+      case "POST /cache/clear" -> {
+        cache.clear(clock.millis());
+        yield Mono.just(StandinReply.text(200, "{}"));
+      }
+      default -> Mono.just(StandinReply.text(404, "{}"));
+    };
+  }
+
+  private RunnerPort.Load load() {
+    int running = engine.slots() - slots.availablePermits();
+    return new RunnerPort.Load(running, queued.get(), queuedTokens.get(), clock.millis(), false);
+  }
+
+  private org.dragonflyhill.platform.CachePort.Events events(StandinRequest request) {
+    Faults now = faults.get();
+    return cache.events(
+        request.number("from"), now.eventLagMillis(), now.eventGapEvery(), clock.millis());
+  }
+
+  private StandinReply complete(RunnerPort.CompletionRequest request) {
+    long promptTokens = PieceKeys.tokens(request.prompt());
+    queued.incrementAndGet();
+    queuedTokens.addAndGet(promptTokens);
+    Flux<Optional<String>> events =
+        slot()
+            .doOnTerminate(
+                () -> {
+                  queued.decrementAndGet();
+                  queuedTokens.addAndGet(-promptTokens);
+                })
+            .thenMany(Flux.defer(() -> run(request, promptTokens)));
+    return new StandinReply.Events(events);
+  }
+
+  private Mono<Boolean> slot() {
+    return Mono.fromSupplier(slots::tryAcquire)
+        .filter(taken -> taken)
+        .repeatWhenEmpty(empty -> empty.delayElements(SLOT_POLL));
+  }
+
+  private Flux<Optional<String>> run(RunnerPort.CompletionRequest request, long promptTokens) {
+    int cachedPieces = cache.use(request.pieceIds());
+    long cached = (long) cachedPieces * request.pieceTokens();
+    long missing = Math.max(0, promptTokens - cached);
+    Duration prefill = Duration.ofNanos(missing * 1_000_000_000L / engine.prefillTokensPerSecond());
+    recorder.accept(
+        new Completed(
+            request.requestId(),
+            request.organisation(),
+            request.weightVersion(),
+            promptTokens,
+            cached,
+            request.resumeOffset()));
+    request.pieceIds().forEach(piece -> cache.add(piece, request.pieceTokens(), clock.millis()));
+    return Mono.delay(prefill)
+        .thenMany(tokens(request, promptTokens, cached))
+        .doFinally(signal -> slots.release());
+  }
+
+  private Flux<Optional<String>> tokens(
+      RunnerPort.CompletionRequest request, long promptTokens, long cached) {
+    Faults now = faults.get();
+    String version =
+        now.wrongWeightVersion() ? request.weightVersion() + "-other" : request.weightVersion();
+    int total = request.maxTokens();
+    Flux<Optional<String>> chunks =
+        Flux.range(request.resumeOffset(), Math.max(0, total - request.resumeOffset()))
+            .concatMap(index -> Mono.just(index).delayElement(engine.tokenTime()), 1)
+            .map(index -> Optional.of(chunk(request, version, index)));
+    if (now.cutAfterTokens() > 0) {
+      return chunks.take(now.cutAfterTokens()).concatWith(Flux.just(Optional.empty()));
+    }
+    var end =
+        new RunnerPort.Event.End(request.requestId(), total, promptTokens, cached, 0, "length");
+    return chunks.concatWith(
+        Flux.just(
+            Optional.of(Json.write(new HttpRunner.Message(Optional.empty(), Optional.of(end))))));
+  }
+
+  private static String chunk(RunnerPort.CompletionRequest request, String version, int index) {
+    var chunk =
+        new RunnerPort.Event.Chunk(
+            request.requestId(), index, 1, word(request.prompt(), version, index), version);
+    return Json.write(new HttpRunner.Message(Optional.of(chunk), Optional.empty()));
+  }
+
+  /** Returns token {@code index} of the answer to a prompt under a weight version. */
+  public static String word(String prompt, String version, int index) {
+    long hash =
+        Hashing.komihash5_0()
+            .hashStream()
+            .putString(prompt)
+            .putString(version)
+            .putInt(index)
+            .getAsLong();
+    return Long.toString(Math.floorMod(hash, 46_656L), 36) + " ";
+  }
+
+  /** Returns the whole answer to a prompt under a weight version. */
+  public static String text(String prompt, String version, int tokens) {
+    StringBuilder text = new StringBuilder();
+    for (int index = 0; index < tokens; index++) {
+      text.append(word(prompt, version, index));
+    }
+    return text.toString();
+  }
+
+  /** Returns pieces now in the cache, for tests in the same process. */
+  public List<String> cachedPieces() {
+    return cache.contents().pieceIds();
+  }
+
+  /**
+   * Speed and size of an engine.
+   *
+   * @param slots completions that run at once
+   * @param cacheTokens tokens that the prefix cache holds
+   * @param prefillTokensPerSecond prompt tokens computed a second
+   * @param tokenTime time of one generated token
+   */
+  public record Engine(
+      int slots, long cacheTokens, long prefillTokensPerSecond, Duration tokenTime) {}
+
+  /**
+   * Record of a completion.
+   *
+   * @param requestId id of the request
+   * @param organisation who asked
+   * @param weightVersion version asked for
+   * @param promptTokens tokens of the prompt
+   * @param cachedTokens prompt tokens that were not computed
+   * @param resumeOffset tokens of the answer that the caller already had
+   */
+  public record Completed(
+      String requestId,
+      String organisation,
+      String weightVersion,
+      long promptTokens,
+      long cachedTokens,
+      int resumeOffset) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/ServiceStandin.java
@@ -0,0 +1,51 @@
+package org.dragonflyhill.standins;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import reactor.core.publisher.Mono;
+
+/**
+ * Stand-in of a plain service: each {@code POST /operations/{name}} is recorded as executed.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class ServiceStandin implements StandinServer.Handler {
+
+  private final AtomicInteger executions = new AtomicInteger();
+  private final Consumer<Object> recorder;
+
+  /** Creates a stand-in that hands each execution to a recorder. */
+  public ServiceStandin(Consumer<Object> recorder) {
+    this.recorder = recorder;
+  }
+
+  @Override
+  public Mono<StandinReply> handle(StandinRequest request) {
+    int number = executions.incrementAndGet();
+    recorder.accept(
+        new Executed(
+            request.requestId(),
+            request.organisation(),
+            request.parts().getLast(),
+            request.text()));
+    return Mono.just(StandinReply.json(new Done(request.parts().getLast(), number)));
+  }
+
+  /**
+   * Record of an execution.
+   *
+   * @param requestId id of the request
+   * @param organisation who asked
+   * @param operation name of the operation
+   * @param body JSON body
+   */
+  public record Executed(String requestId, String organisation, String operation, String body) {}
+
+  /**
+   * Answer of the service.
+   *
+   * @param operation name of the operation
+   * @param execution how many executions there were with this one
+   */
+  public record Done(String operation, int execution) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/StandinJson.java
@@ -0,0 +1,32 @@
+package org.dragonflyhill.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import org.dragonflyhill.platform.Json;
+
+/** Reads JSON that names only some components of a record. Stateless and thread-safe. */
+final class StandinJson {
+
+  private StandinJson() {}
+
+  /** Returns a value with the fields of a JSON object put over it. */
+  static <T> Either<String, T> overlay(T base, String body, Class<T> type) {
+    ObjectNode fields = Json.mapper().valueToTree(base);
+    return Json.readTree(body)
+        .flatMap(given -> checked(fields, given))
+        .flatMap(given -> Json.read(fields.setAll(given).toString(), type));
+  }
+
+  private static Either<String, ObjectNode> checked(ObjectNode known, JsonNode given) {
+    if (!(given instanceof ObjectNode object)) {
+      return Either.left("expected a JSON object");
+    }
+    for (var field : object.properties()) {
+      if (!known.has(field.getKey())) {
+        return Either.left(field.getKey() + ": no such field");
+      }
+    }
+    return Either.right(object);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/StandinReply.java
@@ -0,0 +1,39 @@
+package org.dragonflyhill.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.dragonflyhill.platform.Json;
+import reactor.core.publisher.Flux;
+
+/** Answer of a stand-in. All variants are thread-safe; no component is null. */
+public sealed interface StandinReply {
+
+  /**
+   * A whole answer.
+   *
+   * @param status HTTP status
+   * @param contentType media type
+   * @param body bytes
+   */
+  record Whole(int status, String contentType, byte[] body) implements StandinReply {}
+
+  /**
+   * Server-sent events.
+   *
+   * @param events data of each event; an empty one cuts the connection
+   */
+  record Events(Flux<Optional<String>> events) implements StandinReply {}
+
+  /** No answer: the connection is cut. */
+  record Cut() implements StandinReply {}
+
+  /** Returns JSON text with a status. */
+  static StandinReply text(int status, String json) {
+    return new Whole(status, "application/json", json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns a value as JSON. */
+  static StandinReply json(Object value) {
+    return text(200, Json.write(value));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/StandinServer.java
@@ -0,0 +1,179 @@
+package org.dragonflyhill.standins;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflyhill.platform.Json;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * HTTP port and admin port of a stand-in.
+ *
+ * <p>The admin port takes {@code POST /faults} with {@link Faults} and answers {@code GET /records}
+ * with the records, one JSON value a line. Thread-safe; no argument may be null.
+ */
+public final class StandinServer implements AutoCloseable {
+
+  private final FaultSwitch faultSwitch = new FaultSwitch();
+  private final List<String> records = new ArrayList<>();
+  private final DisposableServer server;
+  private final DisposableServer admin;
+
+  /**
+   * Starts to listen.
+   *
+   * @param host IP number
+   * @param port port of the stand-in, 0 for any
+   * @param adminPort port for its fault switches, 0 for any
+   * @param handler answers calls
+   */
+  public StandinServer(String host, int port, int adminPort, Handler handler) {
+    server =
+        HttpServer.create()
+            .host(host)
+            .port(port)
+            .handle((request, response) -> serve(request, response, handler))
+            .bindNow();
+    admin = HttpServer.create().host(host).port(adminPort).handle(this::serveAdmin).bindNow();
+  }
+
+  /** Returns the port of the stand-in. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Returns the port of the fault switches. */
+  public int adminPort() {
+    return admin.port();
+  }
+
+  /** Returns the failures in force. */
+  public Faults faults() {
+    return faultSwitch.faults();
+  }
+
+  /** Sets the failures in force. */
+  public void set(Faults faults) {
+    faultSwitch.set(faults);
+  }
+
+  /** Adds a record of something that really happened. */
+  public void record(Object value) {
+    synchronized (records) {
+      records.add(Json.write(value));
+    }
+  }
+
+  /** Returns all records. */
+  public List<String> records() {
+    synchronized (records) {
+      return List.copyOf(records);
+    }
+  }
+
+  @Override
+  public void close() {
+    admin.disposeNow();
+    server.disposeNow();
+  }
+
+  private Publisher<Void> serve(
+      HttpServerRequest request, HttpServerResponse response, Handler handler) {
+    return request
+        .receive()
+        .aggregate()
+        .asByteArray()
+        .defaultIfEmpty(new byte[0])
+        .flatMap(body -> answer(request, body, handler))
+        .flatMap(reply -> Mono.from(write(response, reply)));
+  }
+
+  private Mono<StandinReply> answer(HttpServerRequest request, byte[] body, Handler handler) {
+    if (faultSwitch.takeRefusal()) {
+      return Mono.just(StandinReply.text(503, "{\"error\":\"refused by fault switch\"}"));
+    }
+    StandinRequest call = StandinRequest.of(request, body);
+    Mono<StandinReply> reply =
+        handler
+            .handle(call)
+            .onErrorResume(
+                IllegalArgumentException.class,
+                error -> Mono.just(StandinReply.text(400, Json.write(String.valueOf(error)))));
+    if (faultSwitch.takeDrop()) {
+      return reply.map(ignored -> new StandinReply.Cut());
+    }
+    long delay = faultSwitch.faults().delayMillis();
+    return delay > 0 ? reply.delayElement(Duration.ofMillis(delay)) : reply;
+  }
+
+  private static Publisher<Void> write(HttpServerResponse response, StandinReply reply) {
+    return switch (reply) {
+      case StandinReply.Whole whole ->
+          response
+              .status(whole.status())
+              .header("Content-Type", whole.contentType())
+              .sendByteArray(Mono.just(whole.body()));
+      case StandinReply.Events events ->
+          response
+              .status(200)
+              .header("Content-Type", "text/event-stream")
+              .sendObject(
+                  events.events().concatMap(event -> bytes(response, event)), buffer -> true);
+      case StandinReply.Cut cut -> Mono.fromRunnable(() -> cut(response));
+    };
+  }
+
+  private static Flux<ByteBuf> bytes(HttpServerResponse response, Optional<String> event) {
+    if (event.isEmpty()) {
+      cut(response);
+      return Flux.never();
+    }
+    byte[] bytes = ("data: " + event.get() + "\n\n").getBytes(StandardCharsets.UTF_8);
+    return Flux.just(Unpooled.wrappedBuffer(bytes));
+  }
+
+  private static void cut(HttpServerResponse response) {
+    response.withConnection(connection -> connection.channel().close());
+  }
+
+  private Publisher<Void> serveAdmin(HttpServerRequest request, HttpServerResponse response) {
+    if (request.method().equals(HttpMethod.POST) && request.uri().equals("/faults")) {
+      return request
+          .receive()
+          .aggregate()
+          .asString()
+          .defaultIfEmpty("")
+          .flatMap(body -> Mono.from(setFaults(response, body)));
+    }
+    byte[] lines = String.join("\n", records()).getBytes(StandardCharsets.UTF_8);
+    return response.sendByteArray(Mono.just(lines));
+  }
+
+  private Publisher<Void> setFaults(HttpServerResponse response, String body) {
+    return StandinJson.overlay(Faults.NONE, body, Faults.class)
+        .fold(
+            fault -> response.status(400).sendString(Mono.just(fault)),
+            faults -> {
+              set(faults);
+              return response.sendString(Mono.just("{}"));
+            });
+  }
+
+  /** Answers the calls of a stand-in. Thread-safe. */
+  public interface Handler {
+
+    /** Answers a call. */
+    Mono<StandinReply> handle(StandinRequest request);
+  }
+}
