Split placement, cache adapter and cache routes into parts of their own

Cause: completion handling, placement and cache access stood in one class each in the daemon and the runner stand-in, so that no part could grow by itself.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.dragonflyhill.core.PieceKeys;
 import org.dragonflyhill.platform.Closer;
+import org.dragonflyhill.platform.HttpCache;
 import org.dragonflyhill.platform.HttpCaller;
 import org.dragonflyhill.platform.HttpHostList;
 import org.dragonflyhill.platform.HttpLog;
@@ -53,19 +54,21 @@
     var hostList =
         new HttpHostList(platformCaller, settings.hostListAddress(), settings.platformTimeout());
     var runners = new HttpRunner(endpointCaller, settings.platformTimeout());
+    var caches = new HttpCache(endpointCaller, settings.platformTimeout());
 
     var configuration = closer.add(new ConfigurationController(log, metrics));
     var claims = closer.add(new ClaimController(log, settings.node(), metrics));
     var membership = closer.add(new MembershipController(hostList, metrics));
     var endpoints = closer.add(new EndpointController(configuration, membership, runners, clock));
-    var cache = closer.add(new CacheController(configuration, runners, metrics));
+    var cache = closer.add(new CacheController(configuration, caches, metrics));
 
     final var pieceKeys =
         new PieceKeys(
             settings.secret().getBytes(StandardCharsets.UTF_8), PieceKeys.DEFAULT_PIECE_TOKENS);
+    final var placement = new PlacementController(configuration, endpoints, cache, pieceKeys);
     final var completions =
         new CompletionHandler(
-            configuration, endpoints, cache, runners, pieceKeys, new CompletionRelay(), clock);
+            configuration, endpoints, placement, runners, new CompletionRelay(), clock);
     final var services =
         new ServiceHandler(
             configuration, endpoints, new HttpService(endpointCaller, SERVICE_TIMEOUT), clock);
--- a/proofs/src/test/java/org/dragonflyhill/proofs/ProcessHelper.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/ProcessHelper.java
@@ -67,7 +67,7 @@
     List<String> command = new ArrayList<>();
     command.add(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
     command.addAll(
-        List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", classPath()));
+        List.of("-Xmx160m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", classPath()));
     command.add(main.getName());
     command.addAll(args);
     return command;
--- a/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
@@ -3,7 +3,6 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -28,7 +27,7 @@
   private static final Duration SLOT_POLL = Duration.ofMillis(1);
 
   private final Engine engine;
-  private final PrefixCache cache;
+  private final CacheRoutes cache;
   private final Semaphore slots;
   private final AtomicInteger queued = new AtomicInteger();
   private final AtomicLong queuedTokens = new AtomicLong();
@@ -50,7 +49,7 @@
     this.faults = faults;
     this.recorder = recorder;
     this.clock = clock;
-    cache = new PrefixCache(engine.cacheTokens());
+    cache = new CacheRoutes(engine.cacheTokens(), faults, recorder, clock);
     slots = new Semaphore(engine.slots());
   }
 
@@ -60,13 +59,7 @@
       case "POST /v1/completions" ->
           Mono.just(complete(request.read(RunnerPort.CompletionRequest.class)));
       case "GET /load" -> Mono.just(StandinReply.json(load()));
-      case "GET /cache/events" -> Mono.just(StandinReply.json(events(request)));
-      case "GET /cache/contents" -> Mono.just(StandinReply.json(cache.contents()));
-      case "POST /cache/clear" -> {
-        cache.clear(clock.millis());
-        yield Mono.just(StandinReply.text(200, "{}"));
-      }
-      default -> Mono.just(StandinReply.text(404, "{}"));
+      default -> cache.handle(request);
     };
   }
 
@@ -75,12 +68,6 @@
     return new RunnerPort.Load(running, queued.get(), queuedTokens.get(), clock.millis(), false);
   }
 
-  private org.dragonflyhill.platform.CachePort.Events events(StandinRequest request) {
-    Faults now = faults.get();
-    return cache.events(
-        request.number("from"), now.eventLagMillis(), now.eventGapEvery(), clock.millis());
-  }
-
   private StandinReply complete(RunnerPort.CompletionRequest request) {
     long promptTokens = PieceKeys.tokens(request.prompt());
     queued.incrementAndGet();
@@ -103,26 +90,31 @@
   }
 
   private Flux<Optional<String>> run(RunnerPort.CompletionRequest request, long promptTokens) {
-    int cachedPieces = cache.use(request.pieceIds());
-    long cached = (long) cachedPieces * request.pieceTokens();
-    long missing = Math.max(0, promptTokens - cached);
-    Duration prefill = Duration.ofNanos(missing * 1_000_000_000L / engine.prefillTokensPerSecond());
+    return cache
+        .prepare(request)
+        .flatMapMany(prepared -> prefill(request, promptTokens, prepared))
+        .doFinally(signal -> slots.release());
+  }
+
+  private Flux<Optional<String>> prefill(
+      RunnerPort.CompletionRequest request, long promptTokens, CacheRoutes.Prepared prepared) {
+    long missing = Math.max(0, promptTokens - prepared.cachedTokens());
+    Duration time = Duration.ofNanos(missing * 1_000_000_000L / engine.prefillTokensPerSecond());
     recorder.accept(
         new Completed(
             request.requestId(),
             request.organisation(),
             request.weightVersion(),
             promptTokens,
-            cached,
+            prepared.cachedTokens(),
             request.resumeOffset()));
-    request.pieceIds().forEach(piece -> cache.add(piece, request.pieceTokens(), clock.millis()));
-    return Mono.delay(prefill)
-        .thenMany(tokens(request, promptTokens, cached))
-        .doFinally(signal -> slots.release());
+    return Mono.delay(time)
+        .doOnNext(done -> cache.computed(request))
+        .thenMany(tokens(request, promptTokens, prepared));
   }
 
   private Flux<Optional<String>> tokens(
-      RunnerPort.CompletionRequest request, long promptTokens, long cached) {
+      RunnerPort.CompletionRequest request, long promptTokens, CacheRoutes.Prepared prepared) {
     Faults now = faults.get();
     String version =
         now.wrongWeightVersion() ? request.weightVersion() + "-other" : request.weightVersion();
@@ -135,7 +127,13 @@
       return chunks.take(now.cutAfterTokens()).concatWith(Flux.just(Optional.empty()));
     }
     var end =
-        new RunnerPort.Event.End(request.requestId(), total, promptTokens, cached, 0, "length");
+        new RunnerPort.Event.End(
+            request.requestId(),
+            total,
+            promptTokens,
+            prepared.cachedTokens(),
+            prepared.importedTokens(),
+            "length");
     return chunks.concatWith(
         Flux.just(
             Optional.of(Json.write(new HttpRunner.Message(Optional.empty(), Optional.of(end))))));
@@ -169,11 +167,6 @@
     return text.toString();
   }
 
-  /** Returns pieces now in the cache, for tests in the same process. */
-  public List<String> cachedPieces() {
-    return cache.contents().pieceIds();
-  }
-
   /**
    * Speed and size of an engine.
    *
