Give operators a command line for the whole life of a configuration

Cause: only apply existed, without dry run, wait, history or a way back.

An inventory is refused with file, path, value and what was expected, all faults at once.

--- /dev/null
+++ b/cli/src/main/java/org/dragonflyhill/cli/Changes.java
@@ -0,0 +1,168 @@
+package org.dragonflyhill.cli;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.dragonflyhill.core.ChangeRecord;
+import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.platform.ConfigurationLog;
+
+/**
+ * Makes a change of configuration and tells the truth about what became of it.
+ *
+ * <p>Immutable and thread-safe; no argument may be null.
+ */
+final class Changes {
+
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+  private static final int MAX_WAIT_SECONDS = 3_600;
+
+  private final Session session;
+
+  Changes(Session session) {
+    this.session = session;
+  }
+
+  /** Returns the flags that all changing commands have. */
+  static Options options() {
+    return new Options()
+        .addOption(flag("dry-run", "say what would change, and change nothing"))
+        .addOption(flag("wait", "wait until every node has the change in force"))
+        .addOption(
+            Option.builder()
+                .longOpt("wait-seconds")
+                .hasArg()
+                .desc("how long to wait, in seconds (default: 15)")
+                .get());
+  }
+
+  static Option flag(String name, String description) {
+    return Option.builder().longOpt(name).desc(description).get();
+  }
+
+  /** Appends a change, or says what it would do. */
+  Either<CommandError, ExitCode> make(
+      ConfigurationLog log,
+      ConfigurationState current,
+      Optional<ChangeRecord> change,
+      CommandLine line) {
+    if (change.isEmpty()) {
+      session.output().print(List.of(), Output.Table.text("nothing to change"));
+      return Either.right(ExitCode.OK);
+    }
+    if (line.hasOption("dry-run")) {
+      printPlan(current, change.get());
+      return Either.right(ExitCode.OK);
+    }
+    return waitSeconds(line)
+        .flatMap(
+            seconds ->
+                append(log, current, change.get())
+                    .flatMap(decision -> accepted(decision, line, seconds)));
+  }
+
+  /** Prints each object that a change touches. */
+  void printPlan(ConfigurationState current, ChangeRecord change) {
+    List<Line> lines = new ArrayList<>();
+    change
+        .upserts()
+        .forEach(
+            object ->
+                lines.add(
+                    new Line(
+                        current.object(object.key()).isPresent() ? "replace" : "create",
+                        object.key().toString())));
+    change.deletes().forEach(key -> lines.add(new Line("delete", key.toString())));
+    List<List<String>> rows =
+        lines.stream().map(each -> List.of(each.action(), each.object())).toList();
+    session.output().print(lines, new Output.Table(List.of("ACTION", "OBJECT"), rows));
+  }
+
+  private static Either<CommandError, Integer> waitSeconds(CommandLine line) {
+    String text = line.getOptionValue("wait-seconds", "15");
+    try {
+      int seconds = Integer.parseInt(text);
+      if (seconds >= 1 && seconds <= MAX_WAIT_SECONDS) {
+        return Either.right(seconds);
+      }
+    } catch (NumberFormatException e) {
+      // Reported below, as a number out of bounds is.
+    }
+    return Either.left(
+        CommandError.usage(
+            "--wait-seconds: \""
+                + text
+                + "\": expected a whole number from 1 to "
+                + MAX_WAIT_SECONDS));
+  }
+
+  private Either<CommandError, ConfigurationState.ChangeDecision> append(
+      ConfigurationLog log, ConfigurationState current, ChangeRecord change) {
+    return log.append(current, change)
+        .block()
+        .mapLeft(CommandError::of)
+        .flatMap(state -> decision(state, change));
+  }
+
+  private static Either<CommandError, ConfigurationState.ChangeDecision> decision(
+      ConfigurationState state, ChangeRecord change) {
+    return state
+        .decision(change.changeId())
+        .map(Either::<CommandError, ConfigurationState.ChangeDecision>right)
+        .orElseGet(
+            () ->
+                Either.left(
+                    new CommandError(
+                        ExitCode.UNKNOWN,
+                        "change " + change.changeId() + " is not in the log yet; see history")));
+  }
+
+  private Either<CommandError, ExitCode> accepted(
+      ConfigurationState.ChangeDecision decision, CommandLine line, int waitSeconds) {
+    if (!decision.isAccepted()) {
+      return Either.left(CommandError.refused(String.join("\n", decision.rejections())));
+    }
+    session.output().print(decision, Output.Table.text("accepted as version " + decision.offset()));
+    if (!line.hasOption("wait")) {
+      return Either.right(ExitCode.OK);
+    }
+    return session.nodes().flatMap(nodes -> await(nodes, decision.offset(), waitSeconds));
+  }
+
+  private Either<CommandError, ExitCode> await(List<String> nodes, long version, int waitSeconds) {
+    Instant end = session.clock().instant().plusSeconds(waitSeconds);
+    List<String> lagging = lagging(nodes, version);
+    while (!lagging.isEmpty() && session.clock().instant().isBefore(end)) {
+      reactor.core.publisher.Mono.delay(POLL_INTERVAL).block();
+      lagging = lagging(nodes, version);
+    }
+    return lagging.isEmpty()
+        ? Either.right(ExitCode.OK)
+        : Either.left(
+            new CommandError(
+                ExitCode.LAGGING,
+                "accepted, but not in force after "
+                    + waitSeconds
+                    + " s on: "
+                    + String.join(", ", lagging)));
+  }
+
+  private List<String> lagging(List<String> nodes, long version) {
+    return nodes.stream()
+        .filter(
+            node ->
+                session
+                    .get(node, "/admin/status", NodeStatus.class)
+                    .map(status -> status.configurationVersion() < version)
+                    .getOrElse(true))
+        .toList();
+  }
+
+  private record Line(String action, String object) {}
+}
--- /dev/null
+++ b/cli/src/main/java/org/dragonflyhill/cli/HistoryReader.java
@@ -0,0 +1,67 @@
+package org.dragonflyhill.cli;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.platform.ConfigurationLog;
+import org.dragonflyhill.platform.LogPort;
+import org.dragonflyhill.platform.PlatformError;
+
+/**
+ * Reads how the configuration came to be, change by change, as far back as the log keeps records.
+ *
+ * <p>Immutable and thread-safe; no argument may be null.
+ */
+final class HistoryReader {
+
+  private static final int PAGE_RECORDS = 1_000;
+
+  private final LogPort log;
+
+  HistoryReader(LogPort log) {
+    this.log = log;
+  }
+
+  /** Returns the states after each change, oldest first. */
+  Either<CommandError, List<Step>> steps() {
+    List<Step> steps = new ArrayList<>();
+    ConfigurationState state = ConfigurationState.empty();
+    while (true) {
+      Either<PlatformError, LogPort.Page> read =
+          log.read(
+                  LogPort.CONFIGURATION_STREAM,
+                  state.throughOffset() + 1,
+                  PAGE_RECORDS,
+                  Duration.ZERO)
+              .block();
+      if (read.isLeft()) {
+        return Either.left(CommandError.of(read.getLeft()));
+      }
+      for (LogPort.LogRecord record : read.get().records()) {
+        state = ConfigurationLog.fold(state, record);
+        decided(state, record.offset()).ifPresent(steps::add);
+      }
+      if (read.get().records().isEmpty() || state.throughOffset() + 1 >= read.get().next()) {
+        return Either.right(steps);
+      }
+    }
+  }
+
+  private static Optional<Step> decided(ConfigurationState state, long offset) {
+    if (state.decisions().isEmpty() || state.decisions().getLast().offset() != offset) {
+      return Optional.empty();
+    }
+    return Optional.of(new Step(state.decisions().getLast(), state));
+  }
+
+  /**
+   * A change and the configuration after it.
+   *
+   * @param decision what became of the change
+   * @param state configuration after it
+   */
+  record Step(ConfigurationState.ChangeDecision decision, ConfigurationState state) {}
+}
--- /dev/null
+++ b/cli/src/main/java/org/dragonflyhill/cli/InventoryCommands.java
@@ -0,0 +1,155 @@
+package org.dragonflyhill.cli;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.dragonflyhill.core.ChangeRecord;
+import org.dragonflyhill.core.ConfigurationObject;
+import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.platform.ConfigurationLog;
+
+/** Commands that take an inventory file. Stateless and thread-safe. */
+final class InventoryCommands {
+
+  private static final String PRUNE = "prune";
+
+  private InventoryCommands() {}
+
+  static List<Command> all() {
+    return List.of(new Apply(), new Diff());
+  }
+
+  private static Options pruneOption(Options options) {
+    return options.addOption(
+        Changes.flag(PRUNE, "delete the objects that the inventory does not name"));
+  }
+
+  private static Either<CommandError, List<ConfigurationObject>> inventory(List<String> words) {
+    if (words.size() != 1) {
+      return Either.left(CommandError.usage("expected the path of one inventory file"));
+    }
+    String file = words.getFirst();
+    try {
+      var result = InventoryReader.read(file, Files.readString(Path.of(file)));
+      return result.faults().isEmpty()
+          ? Either.right(result.objects())
+          : Either.left(CommandError.refused(String.join("\n", result.faults())));
+    } catch (IOException e) {
+      return Either.left(CommandError.refused(file + ": cannot be read: " + e));
+    }
+  }
+
+  private static Optional<ChangeRecord> plan(
+      ConfigurationState current,
+      List<ConfigurationObject> wanted,
+      CommandLine line,
+      Session session) {
+    return ChangePlan.plan(
+        current, wanted, line.hasOption(PRUNE), UUID.randomUUID().toString(), session.author());
+  }
+
+  private static Either<CommandError, ConfigurationState> read(ConfigurationLog log) {
+    return log.read().block().mapLeft(CommandError::of);
+  }
+
+  /** Makes the configuration equal to an inventory. */
+  private static final class Apply implements Command {
+
+    @Override
+    public String name() {
+      return "apply";
+    }
+
+    @Override
+    public String arguments() {
+      return "FILE [--prune] [--dry-run] [--wait]";
+    }
+
+    @Override
+    public String description() {
+      return "change the configuration to what the inventory file says, all or nothing";
+    }
+
+    @Override
+    public Options options() {
+      return pruneOption(Changes.options());
+    }
+
+    @Override
+    public Either<CommandError, ExitCode> run(
+        List<String> words, CommandLine line, Session session) {
+      return inventory(words)
+          .flatMap(
+              wanted ->
+                  session
+                      .configuration()
+                      .flatMap(
+                          log -> read(log).flatMap(now -> make(log, now, wanted, line, session))));
+    }
+
+    private static Either<CommandError, ExitCode> make(
+        ConfigurationLog log,
+        ConfigurationState current,
+        List<ConfigurationObject> wanted,
+        CommandLine line,
+        Session session) {
+      return new Changes(session).make(log, current, plan(current, wanted, line, session), line);
+    }
+  }
+
+  /** Says how an inventory differs from the configuration. */
+  private static final class Diff implements Command {
+
+    @Override
+    public String name() {
+      return "diff";
+    }
+
+    @Override
+    public String arguments() {
+      return "FILE [--prune]";
+    }
+
+    @Override
+    public String description() {
+      return "say how the inventory file differs from the configuration; exit 1 if it does";
+    }
+
+    @Override
+    public Options options() {
+      return pruneOption(new Options());
+    }
+
+    @Override
+    public Either<CommandError, ExitCode> run(
+        List<String> words, CommandLine line, Session session) {
+      return inventory(words)
+          .flatMap(
+              wanted ->
+                  session
+                      .configuration()
+                      .flatMap(InventoryCommands::read)
+                      .map(current -> print(current, wanted, line, session)));
+    }
+
+    private static ExitCode print(
+        ConfigurationState current,
+        List<ConfigurationObject> wanted,
+        CommandLine line,
+        Session session) {
+      Optional<ChangeRecord> change = plan(current, wanted, line, session);
+      if (change.isEmpty()) {
+        session.output().print(List.of(), Output.Table.text("no difference"));
+        return ExitCode.OK;
+      }
+      new Changes(session).printPlan(current, change.get());
+      return ExitCode.REFUSED;
+    }
+  }
+}
--- a/cli/src/main/java/org/dragonflyhill/cli/Main.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Main.java
@@ -1,101 +1,142 @@
 package org.dragonflyhill.cli;
 
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.time.Duration;
+import java.io.PrintStream;
+import java.time.InstantSource;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
-import java.util.UUID;
+import java.util.stream.Stream;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import org.dragonflyhill.core.ChangeRecord;
-import org.dragonflyhill.core.ConfigurationState;
-import org.dragonflyhill.platform.ConfigurationLog;
-import org.dragonflyhill.platform.HttpCaller;
-import org.dragonflyhill.platform.HttpLog;
-import org.dragonflyhill.platform.PlatformError;
 
 /** The program {@code dragonflyhill}, the operators' command line. Stateless. */
 public final class Main {
 
-  private static final int EXIT_OK = 0;
-  private static final int EXIT_REFUSED = 1;
-  private static final int EXIT_USAGE = 2;
-  private static final int EXIT_UNAVAILABLE = 3;
-  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final String PROGRAM = "dragonflyhill";
+
+  private static final List<Command> COMMANDS =
+      Stream.of(InventoryCommands.all(), ConfigurationCommands.all(), NodeCommands.all())
+          .flatMap(List::stream)
+          .toList();
 
   private Main() {}
 
   /** Runs one command and exits with its code. */
-  public static void main(String[] args) throws IOException {
-    System.exit(run(args));
+  public static void main(String[] args) {
+    System.exit(run(args, System.getenv(), System.out, System.err).number());
   }
 
-  private static int run(String[] args) throws IOException {
-    Options options = new Options();
-    options.addOption(Option.builder().longOpt("log").hasArg().get());
-    options.addOption(Option.builder().longOpt("author").hasArg().get());
-    options.addOption(Option.builder().longOpt("prune").get());
-    CommandLine line;
-    try {
-      line = new DefaultParser(false).parse(options, args);
-    } catch (ParseException e) {
-      System.err.println("dragonflyhill: " + e.getMessage());
-      return EXIT_USAGE;
+  /**
+   * Runs one command.
+   *
+   * @param args the command and its flags
+   * @param environment environment variables
+   * @param out takes results
+   * @param err takes errors
+   */
+  static ExitCode run(
+      String[] args, Map<String, String> environment, PrintStream out, PrintStream err) {
+    if (args.length == 0 || args[0].equals("--help") || args[0].equals("help")) {
+      printUsage(args.length == 0 ? err : out);
+      return args.length == 0 ? ExitCode.USAGE : ExitCode.OK;
     }
-    List<String> words = line.getArgList();
-    if (words.size() != 2 || !words.getFirst().equals("apply") || !line.hasOption("log")) {
-      System.err.println("usage: dragonflyhill apply FILE --log HOST:PORT [--prune]");
-      return EXIT_USAGE;
-    }
-    try (HttpCaller caller = new HttpCaller("cli", 4, TIMEOUT)) {
-      var log = new ConfigurationLog(new HttpLog(caller, line.getOptionValue("log"), TIMEOUT));
-      return apply(log, words.get(1), line);
+    Optional<Command> command =
+        COMMANDS.stream().filter(candidate -> candidate.name().equals(args[0])).findFirst();
+    if (command.isEmpty()) {
+      err.println(PROGRAM + ": \"" + args[0] + "\": no such command; see --help");
+      return ExitCode.USAGE;
     }
+    return parse(command.get(), args)
+        .flatMap(line -> runParsed(command.get(), line, new Environment(environment), out))
+        .fold(
+            error -> {
+              error.message().lines().forEach(text -> err.println(PROGRAM + ": " + text));
+              return error.exitCode();
+            },
+            exitCode -> exitCode);
   }
 
-  private static int apply(ConfigurationLog log, String file, CommandLine line) throws IOException {
-    var inventory = InventoryReader.read(file, Files.readString(Path.of(file)));
-    if (!inventory.faults().isEmpty()) {
-      inventory.faults().forEach(System.err::println);
-      return EXIT_REFUSED;
-    }
-    Either<PlatformError, ConfigurationState> current = log.read().block();
-    if (current.isLeft()) {
-      return unavailable(current.getLeft());
+  private static Either<CommandError, CommandLine> parse(Command command, String[] args) {
+    Options options = commonOptions();
+    command.options().getOptions().forEach(options::addOption);
+    try {
+      return Either.right(new DefaultParser(false).parse(options, args));
+    } catch (ParseException e) {
+      return Either.left(CommandError.usage(e.getMessage()));
     }
-    Optional<ChangeRecord> change =
-        ChangePlan.plan(
-            current.get(),
-            inventory.objects(),
-            line.hasOption("prune"),
-            UUID.randomUUID().toString(),
-            line.getOptionValue("author", System.getProperty("user.name")));
-    if (change.isEmpty()) {
-      System.out.println("nothing to change");
-      return EXIT_OK;
+  }
+
+  private static Either<CommandError, ExitCode> runParsed(
+      Command command, CommandLine line, Environment environment, PrintStream out) {
+    if (line.hasOption("help")) {
+      printCommandUsage(command, out);
+      return Either.right(ExitCode.OK);
     }
-    Either<PlatformError, ConfigurationState> after =
-        log.append(current.get(), change.get()).block();
-    if (after.isLeft()) {
-      return unavailable(after.getLeft());
+    return format(environment.value(line, "output").orElse("table"))
+        .flatMap(
+            format -> {
+              Output output = new Output(out, format);
+              try (Session session =
+                  new Session(line, environment, output, InstantSource.system())) {
+                List<String> words = line.getArgList();
+                return command.run(words.subList(1, words.size()), line, session);
+              }
+            });
+  }
+
+  private static Either<CommandError, Output.Format> format(String word) {
+    for (Output.Format format : Output.Format.values()) {
+      if (format.name().toLowerCase(Locale.ROOT).equals(word)) {
+        return Either.right(format);
+      }
     }
-    var decision = after.get().decision(change.get().changeId()).orElseThrow();
-    if (!decision.isAccepted()) {
-      decision.rejections().forEach(System.err::println);
-      return EXIT_REFUSED;
+    return Either.left(CommandError.usage("--output: \"" + word + "\": expected table or json"));
+  }
+
+  private static Options commonOptions() {
+    return new Options()
+        .addOption(option("log", "HOST:PORT", "address of the log service"))
+        .addOption(option("nodes", "HOST:PORT,...", "admin addresses of the nodes"))
+        .addOption(option("author", "NAME", "who makes the change (default: the user's name)"))
+        .addOption(option("output", "table|json", "form of the output (default: table)"))
+        .addOption(Changes.flag("help", "print this text"));
+  }
+
+  private static Option option(String name, String argument, String description) {
+    return Option.builder().longOpt(name).hasArg().argName(argument).desc(description).get();
+  }
+
+  private static void printUsage(PrintStream stream) {
+    stream.println("usage: " + PROGRAM + " COMMAND [flags]");
+    stream.println();
+    for (Command command : COMMANDS) {
+      stream.printf("  %-10s %s%n", command.name(), command.description());
     }
-    System.out.println("accepted at version " + decision.offset());
-    return EXIT_OK;
+    stream.println();
+    printOptions(commonOptions(), stream);
+    stream.println();
+    stream.println("Flags but --help may be given as environment variables: DRAGONFLYHILL_LOG.");
+    stream.println("Exit: 0 done, 1 refused, 2 usage, 3 unavailable, 4 lagging, 5 unknown.");
   }
 
-  private static int unavailable(PlatformError error) {
-    System.err.println("dragonflyhill: " + error.detail());
-    return EXIT_UNAVAILABLE;
+  private static void printCommandUsage(Command command, PrintStream stream) {
+    stream.println("usage: " + PROGRAM + " " + command.name() + " " + command.arguments());
+    stream.println();
+    stream.println(command.description());
+    stream.println();
+    printOptions(command.options(), stream);
+    printOptions(commonOptions(), stream);
+  }
+
+  private static void printOptions(Options options, PrintStream stream) {
+    for (Option option : options.getOptions()) {
+      String argument = option.hasArg() && option.getArgName() != null ? option.getArgName() : "";
+      stream.printf("  --%-14s %-14s %s%n", option.getLongOpt(), argument, option.getDescription());
+    }
   }
 }
--- /dev/null
+++ b/cli/src/main/java/org/dragonflyhill/cli/NodeCommands.java
@@ -0,0 +1,94 @@
+package org.dragonflyhill.cli;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+
+/** Commands that ask the nodes. Stateless and thread-safe. */
+final class NodeCommands {
+
+  private NodeCommands() {}
+
+  static List<Command> all() {
+    return List.of(new Status());
+  }
+
+  /** Prints the state of every node. */
+  private static final class Status implements Command {
+
+    @Override
+    public String name() {
+      return "status";
+    }
+
+    @Override
+    public String arguments() {
+      return "";
+    }
+
+    @Override
+    public String description() {
+      return "print every node with its configuration version; exit 4 if one lags or is silent";
+    }
+
+    @Override
+    public Either<CommandError, ExitCode> run(
+        List<String> words, CommandLine line, Session session) {
+      return session.nodes().map(nodes -> print(session, nodes));
+    }
+
+    private static ExitCode print(Session session, List<String> nodes) {
+      List<Row> rows = new ArrayList<>();
+      for (String node : nodes) {
+        rows.add(
+            session
+                .get(node, "/admin/status", NodeStatus.class)
+                .fold(
+                    error -> new Row(node, Optional.empty(), error.message()),
+                    status -> new Row(node, Optional.of(status), "")));
+      }
+      long newest = rows.stream().mapToLong(Row::version).max().orElse(-1);
+      session
+          .output()
+          .print(
+              rows,
+              new Output.Table(
+                  List.of("ADDRESS", "NODE", "ZONE", "VERSION", "RUNNING", "STATE"),
+                  rows.stream().map(row -> row.cells(newest)).toList()));
+      boolean allThere = rows.stream().allMatch(row -> row.version() == newest && newest >= 0);
+      return allThere ? ExitCode.OK : ExitCode.LAGGING;
+    }
+  }
+
+  /**
+   * One node.
+   *
+   * @param address admin address
+   * @param status what it said; empty where it was silent
+   * @param error why it was silent
+   */
+  private record Row(String address, Optional<NodeStatus> status, String error) {
+
+    long version() {
+      return status.map(NodeStatus::configurationVersion).orElse(-1L);
+    }
+
+    List<String> cells(long newest) {
+      if (status.isEmpty()) {
+        return List.of(address, "?", "?", "?", "?", "silent: " + error);
+      }
+      NodeStatus known = status.get();
+      String ready = known.notReadyReason().map(reason -> "not ready: " + reason).orElse("ready");
+      String lag = known.configurationVersion() < newest ? ", lagging" : "";
+      return List.of(
+          address,
+          known.node(),
+          known.availabilityZone(),
+          String.valueOf(known.configurationVersion()),
+          String.valueOf(known.runningRequests()),
+          ready + lag);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/dragonflyhill/cli/Session.java
@@ -0,0 +1,107 @@
+package org.dragonflyhill.cli;
+
+import io.netty.handler.codec.http.HttpMethod;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.dragonflyhill.platform.ConfigurationLog;
+import org.dragonflyhill.platform.HttpCaller;
+import org.dragonflyhill.platform.HttpLog;
+import org.dragonflyhill.platform.LogPort;
+
+/**
+ * Connections and output of one run of the command line.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+final class Session implements AutoCloseable {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final int CONNECTIONS = 16;
+
+  private final HttpCaller caller = new HttpCaller("cli", CONNECTIONS, TIMEOUT);
+  private final Optional<String> logAddress;
+  private final List<String> nodes;
+  private final String author;
+  private final Output output;
+  private final InstantSource clock;
+
+  /**
+   * Creates a session.
+   *
+   * @param line flags
+   * @param environment environment variables, for flags that were not given
+   * @param output takes results
+   * @param clock present time
+   */
+  Session(CommandLine line, Environment environment, Output output, InstantSource clock) {
+    this.output = output;
+    this.clock = clock;
+    logAddress = environment.value(line, "log");
+    nodes =
+        environment.value(line, "nodes").map(list -> List.of(list.split(","))).orElse(List.of());
+    author = environment.value(line, "author").orElse(System.getProperty("user.name"));
+  }
+
+  Output output() {
+    return output;
+  }
+
+  String author() {
+    return author;
+  }
+
+  InstantSource clock() {
+    return clock;
+  }
+
+  /** Returns the log service, or what is missing. */
+  Either<CommandError, LogPort> log() {
+    return logAddress
+        .map(address -> Either.<CommandError, LogPort>right(new HttpLog(caller, address, TIMEOUT)))
+        .orElseGet(
+            () ->
+                Either.left(
+                    CommandError.usage("--log HOST:PORT or DRAGONFLYHILL_LOG is required")));
+  }
+
+  /** Returns the configuration in the log, or what is missing. */
+  Either<CommandError, ConfigurationLog> configuration() {
+    return log().map(ConfigurationLog::new);
+  }
+
+  /** Returns the admin addresses of the nodes, or what is missing. */
+  Either<CommandError, List<String>> nodes() {
+    return nodes.isEmpty()
+        ? Either.left(
+            CommandError.usage("--nodes HOST:PORT,... or DRAGONFLYHILL_NODES is required"))
+        : Either.right(nodes);
+  }
+
+  /** Calls the admin interface of a node. */
+  <T> Either<CommandError, T> get(String node, String path, Class<T> type) {
+    return call(HttpMethod.GET, node, path, "", type);
+  }
+
+  /** Sends a body to the admin interface of a node. */
+  <T> Either<CommandError, T> post(String node, String path, String body, Class<T> type) {
+    return call(HttpMethod.POST, node, path, body, type);
+  }
+
+  @Override
+  public void close() {
+    caller.close();
+  }
+
+  private <T> Either<CommandError, T> call(
+      HttpMethod method, String node, String path, String body, Class<T> type) {
+    return caller
+        .call(method, node, path, List.of(), body, TIMEOUT)
+        .map(reply -> reply.flatMap(r -> r.read(type)))
+        .block()
+        .mapLeft(CommandError::of);
+  }
+}
--- a/core/src/main/java/org/dragonflyhill/core/ConfigurationObject.java
+++ b/core/src/main/java/org/dragonflyhill/core/ConfigurationObject.java
@@ -77,7 +77,22 @@
       long linkBytesPerSecond,
       boolean checksFencing,
       AdministrativeState administrativeState)
-      implements ConfigurationObject {}
+      implements ConfigurationObject {
+
+    /** Returns the same runner in another administrative state. */
+    public Runner withState(AdministrativeState state) {
+      return new Runner(
+          name,
+          availabilityZone,
+          address,
+          model,
+          slots,
+          cacheTokens,
+          linkBytesPerSecond,
+          checksFencing,
+          state);
+    }
+  }
 
   /**
    * A host that keeps KV cache in memory and on disk.
@@ -96,7 +111,13 @@
       long capacityBytes,
       long linkBytesPerSecond,
       AdministrativeState administrativeState)
-      implements ConfigurationObject {}
+      implements ConfigurationObject {
+
+    /** Returns the same store in another administrative state. */
+    public Store withState(AdministrativeState state) {
+      return new Store(name, availabilityZone, address, capacityBytes, linkBytesPerSecond, state);
+    }
+  }
 
   /**
    * A plain service beside the model engines, such as a booking service.
@@ -119,6 +140,11 @@
       operations = List.copyOf(operations);
     }
 
+    /** Returns the same service in another administrative state. */
+    public Service withState(AdministrativeState state) {
+      return new Service(name, availabilityZone, address, operations, state);
+    }
+
     /** Finds an operation by its name. */
     public Optional<Operation> operation(String operationName) {
       return operations.stream().filter(o -> o.name().equals(operationName)).findFirst();
