--- a/standins/src/main/java/org/dragonflyhill/standins/Main.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Main.java
@@ -8,6 +8,7 @@
 import org.dragonflyhill.platform.Json;
 import org.dragonflyhill.platform.SettingSpec;
 import org.dragonflyhill.platform.SettingValues;
+import org.dragonflyhill.standins.demo.Demo;
 
 /** The program {@code dragonflyhill-standin}, with a subcommand for each system. */
 public final class Main {
@@ -30,6 +31,10 @@
 
   /** Starts the stand-in named by the first argument and runs until it is ended. */
   public static void main(String[] args) throws InterruptedException {
+    if (args.length > 0 && args[0].equals("demo")) {
+      String[] flags = Arrays.copyOfRange(args, 1, args.length);
+      System.exit(Demo.run(flags, System.getenv(), System.out) ? 0 : 1);
+    }
     if (args.length == 0 || !KINDS.contains(args[0])) {
       System.err.println("usage: dragonflyhill-standin " + String.join("|", KINDS) + " [flags]");
       System.err.print(SettingValues.help("dragonflyhill-standin KIND", SPECS));
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/demo/Demo.java
@@ -0,0 +1,162 @@
+package org.dragonflyhill.standins.demo;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.dragonflyhill.platform.HostListPort;
+import org.dragonflyhill.platform.HttpHostList;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.SettingSpec;
+import org.dragonflyhill.platform.SettingValues;
+import org.dragonflyhill.standins.RunnerStandin;
+import reactor.core.publisher.Mono;
+
+/**
+ * Shows what callers get: prompts that return after their cache was evicted, an urgent one, a
+ * non-repeatable request sent twice, and all of it again after a node died.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+public final class Demo {
+
+  private static final String MODEL = "guardia";
+  private static final String WEIGHT_VERSION = "v1";
+  private static final int MAX_TOKENS = 16;
+  private static final Duration KEEP_TIME = Duration.ofSeconds(2);
+  private static final String HISTORY = prompt("history of shed four, ", 16_000);
+  private static final String ALERT = "ammonia high in shed four, fans stopped";
+  private static final String ORDER = "{\"shed\":4,\"reason\":\"fans stopped\"}";
+
+  private static final List<SettingSpec> SPECS =
+      List.of(
+          SettingSpec.required("phase", "hosts, before or after"),
+          SettingSpec.required("nodes", "host:port of each node for callers, by comma"),
+          SettingSpec.required("peers", "host:port of each node for other nodes, by comma"),
+          SettingSpec.required("runners", "host:port of each runner, by comma"),
+          SettingSpec.required("service-admin", "host:port of the service's admin port"),
+          SettingSpec.required("host-list", "host:port of the host list"),
+          SettingSpec.required("bearer-key", "key of the organisation"));
+
+  private final SettingValues values;
+  private final DemoCaller caller;
+  private final PrintStream out;
+  private final List<Boolean> verdicts = new ArrayList<>();
+
+  private Demo(SettingValues values, DemoCaller caller, PrintStream out) {
+    this.values = values;
+    this.caller = caller;
+    this.out = out;
+  }
+
+  /**
+   * Runs one phase.
+   *
+   * @param flags flags of the program
+   * @param environment environment variables
+   * @param out takes the table
+   * @return whether every answer was right
+   */
+  public static boolean run(String[] flags, Map<String, String> environment, PrintStream out) {
+    SettingValues values = SettingValues.read(SPECS, flags, environment);
+    if (!values.faults().isEmpty()) {
+      values.faults().forEach(System.err::println);
+      return false;
+    }
+    try (DemoCaller caller = new DemoCaller(values.text("bearer-key"))) {
+      Demo demo = new Demo(values, caller, out);
+      switch (values.text("phase")) {
+        case "hosts" -> demo.listHosts();
+        case "before" -> demo.before();
+        default -> demo.after();
+      }
+      return demo.verdicts.stream().allMatch(verdict -> verdict);
+    }
+  }
+
+  private void listHosts() {
+    List<HostListPort.Host> hosts = new ArrayList<>();
+    List<String> peers = list("peers");
+    for (int i = 0; i < peers.size(); i++) {
+      hosts.add(
+          new HostListPort.Host(
+              "node-" + (i + 1), HostListPort.Role.NODE, peers.get(i), HostListPort.State.LIVE));
+    }
+    String body = Json.write(new HttpHostList.Listing(hosts));
+    var answer = caller.platform(HttpMethod.PUT, values.text("host-list"), "/hosts", body);
+    verdicts.add(answer.status() == 200);
+  }
+
+  private void before() {
+    out.printf("%-44s %6s %8s %16s  %s%n", "REQUEST", "STATUS", "MILLIS", "CACHED/PROMPT", "RIGHT");
+    completion("long prompt, first time", 0, "shift-summary", HISTORY);
+    // The pieces of a served prompt are kept in the background, before the runners evict them.
+    Mono.delay(KEEP_TIME).block();
+    evictCaches();
+    completion("the same prompt, runner caches evicted", 1, "shift-summary", HISTORY);
+    completion("urgent alert", 2, "alert", ALERT);
+    dispatch("dispatch", 0);
+    dispatch("the same dispatch through another node", 1);
+  }
+
+  private void after() {
+    evictCaches();
+    completion("long prompt, one node killed", 0, "shift-summary", HISTORY);
+    completion("urgent alert, one node killed", 1, "alert", ALERT);
+    dispatch("the same dispatch, one node killed", 1);
+    countDispatches();
+  }
+
+  private void completion(String label, int node, String task, String prompt) {
+    var answer = caller.complete(list("nodes").get(node), MODEL, task, prompt, MAX_TOKENS);
+    boolean isRight =
+        answer.status() == 200
+            && answer.text().equals(RunnerStandin.text(prompt, WEIGHT_VERSION, MAX_TOKENS));
+    print(label, answer, answer.cachedTokens() + "/" + answer.promptTokens(), isRight);
+  }
+
+  private void dispatch(String label, int node) {
+    var answer = caller.service(list("nodes").get(node), "dispatch/send", "demo-order-1", ORDER);
+    boolean isRight = answer.status() == 200 && answer.json().path("execution").asInt() == 1;
+    print(label, answer, "-", isRight);
+  }
+
+  private void countDispatches() {
+    var records =
+        caller.platform(HttpMethod.GET, values.text("service-admin"), "/records", "").body();
+    long executed = records.lines().filter(line -> line.contains("\"send\"")).count();
+    out.printf("dispatches that the service really ran: %d%n", executed);
+    verdicts.add(executed == 1);
+  }
+
+  private void evictCaches() {
+    for (String runner : list("runners")) {
+      caller.platform(HttpMethod.POST, runner, "/cache/clear", "");
+    }
+  }
+
+  private void print(String label, DemoCaller.Result answer, String cached, boolean isRight) {
+    verdicts.add(isRight);
+    out.printf(
+        "%-44s %6d %8d %16s  %s%n",
+        label, answer.status(), answer.millis(), cached, isRight ? "yes" : "NO");
+    if (!isRight) {
+      out.println("  " + answer.body().substring(0, Math.min(400, answer.body().length())));
+    }
+  }
+
+  private List<String> list(String name) {
+    return Arrays.asList(values.text(name).split(","));
+  }
+
+  private static String prompt(String words, int tokens) {
+    StringBuilder prompt = new StringBuilder();
+    for (int i = 0; prompt.length() < tokens * 4; i++) {
+      prompt.append(words).append(i).append(' ');
+    }
+    return prompt.toString();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/demo/DemoCaller.java
@@ -0,0 +1,120 @@
+package org.dragonflyhill.standins.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.List;
+import org.dragonflyhill.platform.HttpCaller;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.PlatformError;
+
+/**
+ * Sends the requests of the demo and checks each answer.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+final class DemoCaller implements AutoCloseable {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final int CONNECTIONS = 16;
+
+  private final HttpCaller caller = new HttpCaller("demo", CONNECTIONS, CONNECT_TIMEOUT);
+  private final String bearerKey;
+
+  DemoCaller(String bearerKey) {
+    this.bearerKey = bearerKey;
+  }
+
+  /** Asks for a completion. */
+  Result complete(String node, String model, String task, String prompt, int maxTokens) {
+    ObjectNode body =
+        Json.mapper()
+            .createObjectNode()
+            .put("model", model)
+            .put("prompt", prompt)
+            .put("max_tokens", maxTokens);
+    return send(
+        node,
+        "/v1/completions",
+        List.of(authorization(), new HttpCaller.Header("Dragonflyhill-Task", task)),
+        body.toString());
+  }
+
+  /** Calls a plain service. */
+  Result service(String node, String path, String idempotencyKey, String body) {
+    return send(
+        node,
+        "/v1/services/" + path,
+        List.of(authorization(), new HttpCaller.Header("Idempotency-Key", idempotencyKey)),
+        body);
+  }
+
+  /** Makes a call that a stand-in offers to the demo. */
+  Result platform(HttpMethod method, String address, String path, String body) {
+    return result(method, address, path, List.of(), body);
+  }
+
+  @Override
+  public void close() {
+    caller.close();
+  }
+
+  private HttpCaller.Header authorization() {
+    return new HttpCaller.Header("Authorization", "Bearer " + bearerKey);
+  }
+
+  private Result send(String node, String path, List<HttpCaller.Header> headers, String body) {
+    return result(HttpMethod.POST, node, path, headers, body);
+  }
+
+  private Result result(
+      HttpMethod method,
+      String address,
+      String path,
+      List<HttpCaller.Header> headers,
+      String body) {
+    long begin = System.nanoTime();
+    return caller
+        .call(method, address, path, headers, body, TIMEOUT)
+        .block()
+        .fold(
+            error -> new Result(status(error), error.detail(), millisSince(begin)),
+            reply -> new Result(reply.status(), reply.body(), millisSince(begin)));
+  }
+
+  private static int status(PlatformError error) {
+    return error instanceof PlatformError.Refused refused ? refused.status() : 0;
+  }
+
+  private static long millisSince(long begin) {
+    return (System.nanoTime() - begin) / 1_000_000;
+  }
+
+  /**
+   * An answer.
+   *
+   * @param status HTTP status, 0 where none came
+   * @param body body, or what happened
+   * @param millis time until the whole answer, in milliseconds
+   */
+  record Result(int status, String body, long millis) {
+
+    JsonNode json() {
+      return Json.readTree(body).getOrElse(() -> Json.mapper().createObjectNode());
+    }
+
+    String text() {
+      return json().at("/choices/0/text").asText();
+    }
+
+    long cachedTokens() {
+      return json().at("/usage/prompt_tokens_details/cached_tokens").asLong();
+    }
+
+    long promptTokens() {
+      return json().at("/usage/prompt_tokens").asLong();
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The caller of {@code scripts/demo}. */
+package org.dragonflyhill.standins.demo;
