--- a/cli/src/main/java/org/dragonflyhill/cli/NodeCommands.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/NodeCommands.java
@@ -12,7 +12,7 @@
   private NodeCommands() {}
 
   static List<Command> all() {
-    return List.of(new Status());
+    return List.of(new Status(), new Explain());
   }
 
   /** Prints the state of every node. */
@@ -62,6 +62,47 @@
     }
   }
 
+  /** Says why a request went where it went. */
+  private static final class Explain implements Command {
+
+    @Override
+    public String name() {
+      return "explain";
+    }
+
+    @Override
+    public String arguments() {
+      return "REQUEST";
+    }
+
+    @Override
+    public String description() {
+      return "say why a recent request went where it went, by the id in its reply";
+    }
+
+    @Override
+    public Either<CommandError, ExitCode> run(
+        List<String> words, CommandLine line, Session session) {
+      if (words.size() != 1 || !words.getFirst().matches("[0-9a-f-]{1,64}")) {
+        return Either.left(CommandError.usage("expected one request id"));
+      }
+      return session.nodes().flatMap(nodes -> ask(session, nodes, words.getFirst()));
+    }
+
+    private static Either<CommandError, ExitCode> ask(
+        Session session, List<String> nodes, String requestId) {
+      for (String node : nodes) {
+        var found = session.get(node, "/admin/explain/" + requestId, Explanation.class);
+        if (found.isRight()) {
+          session.output().print(found.get(), found.get().table(node));
+          return Either.right(ExitCode.OK);
+        }
+      }
+      return Either.left(
+          CommandError.refused(requestId + ": no node that answered remembers this request"));
+    }
+  }
+
   /**
    * One node.
    *
--- a/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
@@ -25,7 +25,8 @@
       DaemonSettings settings,
       ConfigurationController configuration,
       ClaimController claims,
-      DrainController drain) {
+      DrainController drain,
+      DecisionJournal journal) {
     this.settings = settings;
     this.configuration = configuration;
     this.claims = claims;
@@ -43,7 +44,14 @@
                             (request, response) -> json(response, configuration()))
                         .get(
                             "/admin/requests",
-                            (request, response) -> json(response, claims.entries())))
+                            (request, response) -> json(response, claims.entries()))
+                        .get(
+                            "/admin/explain/{id}",
+                            (request, response) ->
+                                journal
+                                    .explain(request.param("id"))
+                                    .map(explanation -> json(response, explanation))
+                                    .orElseGet(() -> response.sendNotFound())))
             .bindNow();
   }
 
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/JournalFilter.java
@@ -0,0 +1,29 @@
+package org.dragonflyhill.daemon;
+
+import reactor.core.publisher.Mono;
+
+/** Notes each classified request and what its caller got. Thread-safe; nothing is null. */
+public final class JournalFilter implements RequestFilter {
+
+  private final DecisionJournal journal;
+
+  /** Creates a filter. */
+  public JournalFilter(DecisionJournal journal) {
+    this.journal = journal;
+  }
+
+  @Override
+  public Mono<Reply> handle(RequestContext context, Handler next) {
+    journal.received(context);
+    return next.handle(context)
+        .doOnNext(reply -> journal.ended(context.requestId(), outcome(reply)));
+  }
+
+  private static String outcome(Reply reply) {
+    return switch (reply) {
+      case Reply.Json json -> "answered";
+      case Reply.Stream stream -> "streamed";
+      case Reply.Problem problem -> problem.refusal().reason().code();
+    };
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -77,15 +77,17 @@
     membership.start();
     endpoints.start();
     cache.start();
+    DecisionJournal journal = new DecisionJournal();
     List<RequestFilter> filters =
         List.of(
             new AuthenticationFilter(configuration),
             new ClassificationFilter(configuration, clock),
+            new JournalFilter(journal),
             new AdmissionFilter(drain),
             new ClaimFilter(claims, clock));
     var chain = RequestFilter.chain(filters, new Dispatcher(completions, services));
     frontend = closer.add(new HttpFrontend(settings, chain, metrics, drain, clock));
-    admin = closer.add(new AdminApi(settings, configuration, claims, drain));
+    admin = closer.add(new AdminApi(settings, configuration, claims, drain, journal));
     markStarted(configuration);
     LogEvent.of("node_started")
         .with("node", settings.node())
