Order weights to runners under a lease in the log

Cause: nothing brought the runners to the weights that the configuration names.

Ruled out: a lease for each runner (renewals exceed the log's rate); a lease decided by the time at which each reader read it (two readers can disagree).

Change: a lease record names its base and counts by log order alone; LeaseKeeper times it by a monotonic clock; OrderPlanner loads at most two runners at once and keeps the slots that are needed; orders are read back. Stand-ins of the weight store and of the runner's orders.

Before: a record that was sent again after 6 s was taken for the first, late one, so that a holder counted its lease too long (test recordSentAgainIsNotTakenForTheFirst failed). Now each record has a number. With wait, base check or send time taken out, LeaseKeeperTest fails in 2, 1 and 4 tests.

--- a/core/src/main/java/org/dragonflyhill/core/LeaseTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/LeaseTable.java
@@ -1,71 +1,78 @@
 package org.dragonflyhill.core;
 
-import java.time.Duration;
-import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
 /**
- * Decides who holds a lease, from the lease records of the log in their order.
+ * Decides who holds a lease, from the lease records of the log and their order alone.
  *
- * <p>The offset of the record that granted a lease is its fencing token.
+ * <p>A record names the record that its writer saw last. It counts only if no other came between,
+ * so that every reader of the same records agrees on the holder, whatever its clock says. Whether a
+ * lease has run out is for {@link LeaseKeeper} to judge before it writes a record.
  *
  * <pre>{@code
- * table.apply(offset, new LeaseTable.LeaseRecord("runner-1", "node-a", 10_000, readAt));
- * Optional<LeaseTable.Lease> lease = table.lease("runner-1");
+ * table.apply(42, new LeaseTable.LeaseRecord("orders/sk-central", "node-a", 41, 6_000, 1));
+ * Optional<LeaseTable.Lease> lease = table.lease("orders/sk-central");
  * }</pre>
  *
  * <p>Not thread-safe; its owner guards it. No argument may be null.
  */
 public final class LeaseTable {
 
+  /** Base of a record whose writer saw no lease. */
+  public static final long NO_BASE = -1;
+
   private final Map<String, Lease> leases = new HashMap<>();
   private long throughOffset = -1;
 
   /**
-   * Folds one record. A record of another holder counts only when the lease before it has run out,
-   * by the times at which this node read both.
-   *
-   * @param offset log offset of the record
-   * @param record the record
-   * @param readAt time at which this node read it
+   * Folds one record and returns whether it counted. An offset that was folded before changes
+   * nothing.
    */
-  public void apply(long offset, LeaseRecord record, Instant readAt) {
+  public boolean apply(long offset, LeaseRecord record) {
     if (offset <= throughOffset) {
-      return;
+      return false;
     }
     throughOffset = offset;
-    Lease current = leases.get(record.resource());
-    boolean sameHolder = current != null && current.holder().equals(record.holder());
-    if (current != null && !sameHolder && readAt.isBefore(current.until())) {
-      return;
+    Optional<Lease> current = lease(record.resource());
+    if (current.map(Lease::lastOffset).orElse(NO_BASE) != record.baseOffset()) {
+      return false;
     }
-    long token = sameHolder ? current.fencingToken() : offset;
-    Instant until = readAt.plus(Duration.ofMillis(record.durationMillis()));
-    leases.put(record.resource(), new Lease(record.holder(), token, until));
+    long token =
+        current
+            .filter(lease -> lease.holder().equals(record.holder()))
+            .map(Lease::fencingToken)
+            .orElse(offset);
+    leases.put(
+        record.resource(), new Lease(record.holder(), token, offset, record.durationMillis()));
+    return true;
   }
 
-  /** Finds the last lease on a resource, whether or not it has run out. */
+  /** Finds the lease on a resource, whether or not it has run out. */
   public Optional<Lease> lease(String resource) {
     return Optional.ofNullable(leases.get(resource));
   }
 
   /**
-   * A node's wish to hold a lease, as appended to the log.
+   * A wish to hold a lease, as appended to the log.
    *
    * @param resource what the lease is on
-   * @param holder name of the node
+   * @param holder unique name of the process that wants it
+   * @param baseOffset offset of the last record that counted, as the writer saw it
    * @param durationMillis length of the lease, in milliseconds
+   * @param attempt number of this record among those of the holder
    */
-  public record LeaseRecord(String resource, String holder, long durationMillis) {}
+  public record LeaseRecord(
+      String resource, String holder, long baseOffset, long durationMillis, long attempt) {}
 
   /**
    * A granted lease.
    *
-   * @param holder name of the node
+   * @param holder unique name of the process
    * @param fencingToken number that grows with each new holder
-   * @param until end by this node's clock
+   * @param lastOffset offset of the last record that counted
+   * @param durationMillis length of the lease, in milliseconds
    */
-  public record Lease(String holder, long fencingToken, Instant until) {}
+  public record Lease(String holder, long fencingToken, long lastOffset, long durationMillis) {}
 }
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/LeaseController.java
@@ -0,0 +1,127 @@
+package org.dragonflyhill.daemon;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.dragonflyhill.core.LeaseKeeper;
+import org.dragonflyhill.core.LeaseTable;
+import org.dragonflyhill.core.RendezvousHash;
+import org.dragonflyhill.platform.HostListPort;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.LogFollower;
+import org.dragonflyhill.platform.LogPort;
+import org.dragonflyhill.platform.PlatformError;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Holds one lease for this node when it is this node's turn.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class LeaseController implements AutoCloseable {
+
+  private static final Duration TICK = Duration.ofMillis(250);
+
+  private final LogPort log;
+  private final MembershipController membership;
+  private final NodeMetrics metrics;
+  private final InstantSource monotonicClock;
+  private final String resource;
+  private final String node;
+  private final LeaseKeeper keeper;
+  private final LogFollower follower;
+  private Disposable ticking = () -> {};
+
+  /**
+   * Creates a controller that does not do anything yet.
+   *
+   * @param log the log service
+   * @param membership knows the live nodes
+   * @param metrics counts appends
+   * @param monotonicClock a clock that is never set
+   * @param resource what the lease is on
+   * @param node name of this node
+   * @param duration length of the lease
+   */
+  public LeaseController(
+      LogPort log,
+      MembershipController membership,
+      NodeMetrics metrics,
+      InstantSource monotonicClock,
+      String resource,
+      String node,
+      Duration duration) {
+    this.log = log;
+    this.membership = membership;
+    this.metrics = metrics;
+    this.monotonicClock = monotonicClock;
+    this.resource = resource;
+    this.node = node;
+    // A node that starts again under its name must not take the lease of its former process.
+    String holder = node + "/" + UUID.randomUUID();
+    keeper = new LeaseKeeper(resource, holder, duration, monotonicClock.instant());
+    follower = new LogFollower(log, LogPort.LEASE_STREAM, 0, this::fold);
+  }
+
+  /** Starts to follow the lease stream and to ask for the lease. */
+  public synchronized void start() {
+    follower.start();
+    ticking = Flux.interval(TICK).onBackpressureDrop().concatMap(tick -> askIfDue(), 1).subscribe();
+  }
+
+  /** Returns the lease if this node holds it at this moment. */
+  public synchronized Optional<LeaseKeeper.Held> held(Instant now) {
+    return keeper.held(now);
+  }
+
+  @Override
+  public synchronized void close() {
+    ticking.dispose();
+    follower.close();
+  }
+
+  private Mono<Void> askIfDue() {
+    return wish().map(this::append).orElse(Mono.empty());
+  }
+
+  private synchronized Optional<LeaseTable.LeaseRecord> wish() {
+    if (!follower.isCaughtUp()) {
+      return Optional.empty();
+    }
+    return keeper.next(monotonicClock.instant(), rank());
+  }
+
+  private Mono<Void> append(LeaseTable.LeaseRecord record) {
+    metrics.count("lease.appends");
+    return log.append(LogPort.LEASE_STREAM, List.of(Json.write(record)))
+        .doOnNext(answer -> answer.peekLeft(this::failed))
+        .then();
+  }
+
+  private synchronized void failed(PlatformError error) {
+    metrics.count("lease.failed_appends");
+    if (error.isWithoutEffect()) {
+      keeper.notAppended();
+    }
+  }
+
+  private int rank() {
+    List<String> nodes =
+        membership.live(HostListPort.Role.NODE).stream().map(HostListPort.Host::name).toList();
+    int place = RendezvousHash.rank(resource, nodes).indexOf(node);
+    return place < 0 ? nodes.size() : place;
+  }
+
+  private synchronized void fold(LogPort.Page page) {
+    for (LogPort.LogRecord record : page.records()) {
+      Json.read(record.value(), LeaseTable.LeaseRecord.class)
+          .peek(known -> keeper.observed(record.offset(), known, monotonicClock.instant()))
+          .peekLeft(fault -> metrics.count("lease.unreadable_records"));
+    }
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -12,6 +12,7 @@
 import org.dragonflyhill.platform.HttpCaller;
 import org.dragonflyhill.platform.HttpHostList;
 import org.dragonflyhill.platform.HttpLog;
+import org.dragonflyhill.platform.HttpOrder;
 import org.dragonflyhill.platform.HttpRunner;
 import org.dragonflyhill.platform.HttpService;
 import org.dragonflyhill.platform.LogEvent;
@@ -29,6 +30,7 @@
   private static final int MAX_CONNECTIONS_PER_ENDPOINT = 500;
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
   private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(30);
+  private static final String ORDER_RESOURCE = "orders";
   private static final Duration STARTED_POLL = Duration.ofMillis(50);
 
   private final Closer closer = new Closer();
@@ -62,6 +64,27 @@
     var endpoints = closer.add(new EndpointController(configuration, membership, runners, clock));
     var cache = closer.add(new CacheController(configuration, caches, metrics));
 
+    var monotonicClock = new MonotonicClock();
+    final var orderLease =
+        closer.add(
+            new LeaseController(
+                log,
+                membership,
+                metrics,
+                monotonicClock,
+                ORDER_RESOURCE,
+                settings.node(),
+                OrderController.LEASE_DURATION));
+    final var orders =
+        closer.add(
+            new OrderController(
+                configuration,
+                endpoints,
+                orderLease,
+                new HttpOrder(endpointCaller, settings.platformTimeout()),
+                metrics,
+                monotonicClock));
+
     final var pieceKeys =
         new PieceKeys(
             settings.secret().getBytes(StandardCharsets.UTF_8), PieceKeys.DEFAULT_PIECE_TOKENS);
@@ -77,6 +100,8 @@
     membership.start();
     endpoints.start();
     cache.start();
+    orderLease.start();
+    orders.start();
     DecisionJournal journal = new DecisionJournal();
     List<RequestFilter> filters =
         List.of(
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/OrderController.java
@@ -0,0 +1,186 @@
+package org.dragonflyhill.daemon;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.ConfigurationObject.Model;
+import org.dragonflyhill.core.ConfigurationObject.Runner;
+import org.dragonflyhill.core.LeaseKeeper;
+import org.dragonflyhill.core.ObjectKind;
+import org.dragonflyhill.core.OrderPlanner;
+import org.dragonflyhill.core.OrderPlanner.Weights;
+import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.platform.OrderPort;
+import org.dragonflyhill.platform.PlatformError;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Brings the runners to the weights that the configuration names, while this node holds the lease.
+ *
+ * <p>An order says what should be, not what to do, so that one whose answer was lost is simply read
+ * back and, if need be, given again. Thread-safe; no argument may be null.
+ */
+public final class OrderController implements AutoCloseable {
+
+  /** Length of the lease on giving orders. */
+  public static final Duration LEASE_DURATION = Duration.ofSeconds(6);
+
+  /** Time after which a runner must ignore an order that came late. */
+  public static final Duration ORDER_DEADLINE = Duration.ofSeconds(2);
+
+  private static final Logger LOGGER = LogManager.getLogger(OrderController.class);
+  private static final Duration TICK = Duration.ofMillis(250);
+  private static final int CALLS_AT_ONCE = 32;
+
+  /** Share of the used slots that is kept free besides them while weights are loaded. */
+  private static final double SPARE_SHARE = 0.25;
+
+  private final ConfigurationController configuration;
+  private final EndpointController endpoints;
+  private final LeaseController lease;
+  private final OrderPort orders;
+  private final NodeMetrics metrics;
+  private final InstantSource monotonicClock;
+  private final Map<String, OrderPort.State> states = new HashMap<>();
+  private Optional<Tenure> tenure = Optional.empty();
+  private Disposable ticking = () -> {};
+
+  /** Creates a controller that does not give orders yet. */
+  public OrderController(
+      ConfigurationController configuration,
+      EndpointController endpoints,
+      LeaseController lease,
+      OrderPort orders,
+      NodeMetrics metrics,
+      InstantSource monotonicClock) {
+    this.configuration = configuration;
+    this.endpoints = endpoints;
+    this.lease = lease;
+    this.orders = orders;
+    this.metrics = metrics;
+    this.monotonicClock = monotonicClock;
+  }
+
+  /** Starts to give orders whenever the lease is held. */
+  public synchronized void start() {
+    ticking = Flux.interval(TICK).onBackpressureDrop().concatMap(tick -> round(), 1).subscribe();
+  }
+
+  @Override
+  public synchronized void close() {
+    ticking.dispose();
+  }
+
+  private Mono<Void> round() {
+    Instant now = monotonicClock.instant();
+    Optional<LeaseKeeper.Held> held = lease.held(now);
+    if (held.isEmpty()) {
+      endTenure();
+      return Mono.empty();
+    }
+    beginTenure(held.get(), now);
+    List<Runner> runners = configuration.state().all(Runner.class);
+    return Flux.fromIterable(runners)
+        .flatMap(this::readState, CALLS_AT_ONCE)
+        .then(Mono.defer(() -> giveOrders(runners)));
+  }
+
+  private synchronized void endTenure() {
+    tenure = Optional.empty();
+    states.clear();
+  }
+
+  private synchronized void beginTenure(LeaseKeeper.Held held, Instant now) {
+    if (tenure.filter(known -> known.fencingToken() == held.fencingToken()).isEmpty()) {
+      tenure = Optional.of(new Tenure(held.fencingToken(), now));
+      LogEvent.of("orders_taken_over").with("token", held.fencingToken()).info(LOGGER);
+    }
+  }
+
+  private Mono<Void> readState(Runner runner) {
+    return orders.state(runner.address()).doOnNext(answer -> note(runner.name(), answer)).then();
+  }
+
+  private synchronized void note(String runner, Either<PlatformError, OrderPort.State> answer) {
+    answer.peek(state -> states.put(runner, state)).peekLeft(error -> states.remove(runner));
+  }
+
+  private Mono<Void> giveOrders(List<Runner> runners) {
+    List<OrderPlanner.RunnerState> known = new ArrayList<>();
+    runners.forEach(runner -> plannerState(runner).ifPresent(known::add));
+    int used = known.stream().mapToInt(OrderPlanner.RunnerState::usedSlots).sum();
+    int needed = (int) Math.ceil(used * (1 + SPARE_SHARE));
+    return Flux.fromIterable(OrderPlanner.plan(known, needed)).concatMap(this::give).then();
+  }
+
+  private synchronized Optional<OrderPlanner.RunnerState> plannerState(Runner runner) {
+    Optional<OrderPort.State> state = Optional.ofNullable(states.get(runner.name()));
+    return configuration
+        .find(ObjectKind.MODEL, runner.model(), Model.class)
+        .map(
+            model ->
+                new OrderPlanner.RunnerState(
+                    runner.name(),
+                    new Weights(model.name(), model.weightVersion()),
+                    state.map(OrderPort.State::weights).orElse(Weights.NONE),
+                    state.map(OrderPort.State::isLoading).orElse(false),
+                    state.isPresent(),
+                    runner.slots(),
+                    endpoints.load(runner.name()).map(load -> load.running()).orElse(0)));
+  }
+
+  private Mono<Void> give(OrderPlanner.Order order) {
+    Optional<Runner> runner = configuration.find(ObjectKind.RUNNER, order.runner(), Runner.class);
+    // The lease is checked again right before each order: reading the states took time.
+    Instant now = monotonicClock.instant();
+    Optional<LeaseKeeper.Held> held = lease.held(now);
+    if (runner.isEmpty() || held.isEmpty() || !mayOrder(runner.get(), held.get(), now)) {
+      metrics.count("orders.held_back");
+      return Mono.empty();
+    }
+    metrics.count("orders.given");
+    var load =
+        new OrderPort.LoadOrder(
+            order.weights(), held.get().fencingToken(), ORDER_DEADLINE.toMillis());
+    return orders
+        .order(runner.get().address(), load)
+        .doOnNext(answer -> noteOrder(order, answer))
+        .then();
+  }
+
+  /**
+   * Returns whether an order may be given now: it must end inside the lease, and a runner that does
+   * not check tokens is left alone until an order of the former holder can no longer arrive.
+   */
+  private synchronized boolean mayOrder(Runner runner, LeaseKeeper.Held held, Instant now) {
+    if (now.plus(ORDER_DEADLINE).isAfter(held.until())) {
+      return false;
+    }
+    if (runner.checksFencing()) {
+      return true;
+    }
+    return tenure.map(known -> !now.isBefore(known.since().plus(ORDER_DEADLINE))).orElse(false);
+  }
+
+  private void noteOrder(OrderPlanner.Order order, Either<PlatformError, OrderPort.State> answer) {
+    answer.peekLeft(error -> metrics.count("orders.failed"));
+    LogEvent.of("order_given")
+        .with("runner", order.runner())
+        .with("model", order.weights().model())
+        .with("weight_version", order.weights().weightVersion())
+        .with("answered", answer.isRight())
+        .info(LOGGER);
+  }
+
+  private record Tenure(long fencingToken, Instant since) {}
+}
--- a/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
@@ -92,10 +92,15 @@
 
   /** Applies the inventory of this deployment with the command line. */
   ProcessHelper.Ended apply() {
+    return apply(inventory());
+  }
+
+  /** Applies an inventory with the command line. */
+  ProcessHelper.Ended apply(ObjectNode inventory) {
     try {
       Path file = Files.createTempFile("inventory-", ".json");
       file.toFile().deleteOnExit();
-      Files.writeString(file, inventory().toString());
+      Files.writeString(file, inventory.toString());
       return ProcessHelper.run(
           org.dragonflyhill.cli.Main.class,
           List.of("apply", file.toString(), "--log", log.address("port")));
@@ -231,6 +236,42 @@
     return body.lines().map(line -> Json.readTree(line).get()).toList();
   }
 
+  /** Lists the nodes as live, under the given names in the order of their start. */
+  void listNodes(String... names) {
+    ObjectNode listing = Json.mapper().createObjectNode();
+    ArrayNode hosts = listing.putArray("hosts");
+    for (int i = 0; i < names.length; i++) {
+      hosts
+          .addObject()
+          .put("name", names[i])
+          .put("role", "NODE")
+          .put("address", nodes.get(i).address("peer_port"))
+          .put("state", "LIVE");
+    }
+    HttpResponse<String> answer =
+        send(
+            HttpRequest.newBuilder(URI.create("http://" + hostList.address("port") + "/hosts"))
+                .PUT(HttpRequest.BodyPublishers.ofString(listing.toString()))
+                .build());
+    if (answer.statusCode() != 200) {
+      throw new IllegalStateException(answer.body());
+    }
+  }
+
+  /** Returns the values of a stream of the log, each with its offset. */
+  List<JsonNode> logRecords(String stream) {
+    String path = "/streams/" + stream + "/records?from=0&limit=100000&wait_millis=0";
+    String body =
+        send(HttpRequest.newBuilder(URI.create("http://" + log.address("port") + path)).build())
+            .body();
+    List<JsonNode> values = new ArrayList<>();
+    for (JsonNode record : Json.readTree(body).get().path("records")) {
+      ObjectNode value = (ObjectNode) Json.readTree(record.path("value").asText()).get();
+      values.add(value.put("offset", record.path("offset").asLong()));
+    }
+    return values;
+  }
+
   @Override
   public void close() {
     closer.close();
--- a/standins/src/main/java/org/dragonflyhill/standins/Main.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Main.java
@@ -15,7 +15,8 @@
 
   private static final int EXIT_USAGE = 2;
   private static final int MAX_PORT = 65_535;
-  private static final List<String> KINDS = List.of("runner", "service", "log", "host-list");
+  private static final List<String> KINDS =
+      List.of("runner", "service", "log", "host-list", "weight-store");
   private static final List<SettingSpec> SPECS =
       List.of(
           SettingSpec.optional("host", "127.0.0.1", "IP number to listen on"),
@@ -25,7 +26,8 @@
           SettingSpec.optional("cache-tokens", "64000", "tokens that a runner's cache holds"),
           SettingSpec.optional(
               "prefill-tokens-per-second", "20000", "prompt tokens that a runner computes"),
-          SettingSpec.optional("token-micros", "2000", "time of a generated token, in us"));
+          SettingSpec.optional("token-micros", "2000", "time of a generated token, in us"),
+          SettingSpec.optional("weight-store", "", "host:port from which a runner loads weights"));
 
   private Main() {}
 
@@ -55,6 +57,7 @@
           case "runner" -> standins.runner(port, adminPort, engine);
           case "service" -> standins.service(port, adminPort);
           case "log" -> standins.log(port, adminPort);
+          case "weight-store" -> standins.weightStore(port, adminPort);
           default -> standins.hostList(port, adminPort);
         };
     System.out.println(Json.write(new Listening(server.port(), server.adminPort())));
@@ -66,7 +69,8 @@
         values.integer("slots", 1, 10_000),
         values.integer("cache-tokens", 1, Integer.MAX_VALUE),
         values.integer("prefill-tokens-per-second", 1, Integer.MAX_VALUE),
-        Duration.ofNanos(1_000L * values.integer("token-micros", 1, Integer.MAX_VALUE)));
+        Duration.ofNanos(1_000L * values.integer("token-micros", 1, Integer.MAX_VALUE)),
+        values.optionalText("weight-store"));
   }
 
   /**
--- a/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
@@ -28,6 +28,7 @@
 
   private final Engine engine;
   private final CacheRoutes cache;
+  private final OrderRoutes orders;
   private final Semaphore slots;
   private final AtomicInteger queued = new AtomicInteger();
   private final AtomicLong queuedTokens = new AtomicLong();
@@ -49,12 +50,16 @@
     this.faults = faults;
     this.recorder = recorder;
     this.clock = clock;
+    orders = new OrderRoutes(engine.weightStore(), faults, recorder, clock);
     cache = new CacheRoutes(engine.cacheTokens(), faults, recorder, clock);
     slots = new Semaphore(engine.slots());
   }
 
   @Override
   public Mono<StandinReply> handle(StandinRequest request) {
+    if (request.path().startsWith("/orders/")) {
+      return orders.handle(request);
+    }
     return switch (request.method() + " " + request.path()) {
       case "POST /v1/completions" ->
           Mono.just(complete(request.read(RunnerPort.CompletionRequest.class)));
@@ -174,9 +179,14 @@
    * @param cacheTokens tokens that the prefix cache holds
    * @param prefillTokensPerSecond prompt tokens computed a second
    * @param tokenTime time of one generated token
+   * @param weightStore {@code host:port} of the weight store; empty to load from nowhere
    */
   public record Engine(
-      int slots, long cacheTokens, long prefillTokensPerSecond, Duration tokenTime) {}
+      int slots,
+      long cacheTokens,
+      long prefillTokensPerSecond,
+      Duration tokenTime,
+      Optional<String> weightStore) {}
 
   /**
    * Record of a completion.
--- a/standins/src/main/java/org/dragonflyhill/standins/Standins.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Standins.java
@@ -41,6 +41,14 @@
     return server.get();
   }
 
+  /** Starts a weight store. */
+  public StandinServer weightStore(int port, int adminPort) {
+    AtomicReference<StandinServer> server = new AtomicReference<>();
+    var store = new WeightStoreStandin(value -> server.get().record(value));
+    server.set(new StandinServer(host, port, adminPort, store));
+    return server.get();
+  }
+
   /** Starts a log service. */
   public StandinServer log(int port, int adminPort) {
     return new StandinServer(host, port, adminPort, new LogStandin());
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/WeightStoreStandin.java
@@ -0,0 +1,44 @@
+package org.dragonflyhill.standins;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import reactor.core.publisher.Mono;
+
+/**
+ * Stand-in of the weight store: {@code GET /weights/{model}/{version}} takes 0.2 s, and longer
+ * while more than two are served at once.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class WeightStoreStandin implements StandinServer.Handler {
+
+  private static final Duration LOAD_TIME = Duration.ofMillis(200);
+  private static final int LOADS_AT_FULL_SPEED = 2;
+
+  private final AtomicInteger loads = new AtomicInteger();
+  private final Consumer<Object> recorder;
+
+  /** Creates a stand-in that hands each load to a recorder. */
+  public WeightStoreStandin(Consumer<Object> recorder) {
+    this.recorder = recorder;
+  }
+
+  @Override
+  public Mono<StandinReply> handle(StandinRequest request) {
+    int atOnce = loads.incrementAndGet();
+    recorder.accept(new Loaded(request.path(), atOnce));
+    int factor = Math.max(1, (atOnce + LOADS_AT_FULL_SPEED - 1) / LOADS_AT_FULL_SPEED);
+    return Mono.delay(LOAD_TIME.multipliedBy(factor))
+        .<StandinReply>map(done -> StandinReply.text(200, "{}"))
+        .doFinally(signal -> loads.decrementAndGet());
+  }
+
+  /**
+   * Record of a load.
+   *
+   * @param path what was loaded
+   * @param loadsAtOnce loads under way, with this one
+   */
+  public record Loaded(String path, int loadsAtOnce) {}
+}
