Settle lost answers to changes and keep the configuration beyond the log's retention

Cause: an append whose answer was lost was reported as unavailable although the change might be in force, and records that expire took the configuration away from every node that started later; a reader that missed expired records folded the rest onto an older state.

Ruled out: appending the same change again after a lost answer (two records of one change for no gain), and saying "not appended" because one read did not find the change: it may still be under way.

SnapshotPolicy decides when to append one.

--- a/core/src/main/java/org/dragonflyhill/core/ConfigurationFold.java
+++ b/core/src/main/java/org/dragonflyhill/core/ConfigurationFold.java
@@ -55,6 +55,30 @@
         remember(state.decisions(), decision));
   }
 
+  /**
+   * Returns the state after the author of a change gave it up. The first record in log order
+   * decides: a change that comes later is a repeat, and so is a withdrawal of a decided change.
+   *
+   * @param state the state so far
+   * @param offset log offset of the record
+   * @param changeId id of the change that is given up
+   * @param author who gives it up
+   */
+  public static ConfigurationState withdraw(
+      ConfigurationState state, long offset, String changeId, String author) {
+    if (offset <= state.throughOffset()) {
+      return state;
+    }
+    if (state.decision(changeId).isPresent()) {
+      return skip(state, offset);
+    }
+    var decision =
+        new ConfigurationState.ChangeDecision(
+            changeId, offset, author, List.of(ConfigurationState.WITHDRAWN));
+    return new ConfigurationState(
+        offset, state.version(), state.objects(), remember(state.decisions(), decision));
+  }
+
   /** Returns the state after a record that is no change, such as a snapshot. */
   public static ConfigurationState skip(ConfigurationState state, long offset) {
     if (offset <= state.throughOffset()) {
--- a/core/src/main/java/org/dragonflyhill/core/ConfigurationState.java
+++ b/core/src/main/java/org/dragonflyhill/core/ConfigurationState.java
@@ -35,6 +35,9 @@
   /** Number of recent change decisions that a state remembers. */
   public static final int REMEMBERED_DECISIONS = 1_024;
 
+  /** Reason against a change that its author gave up before the log held it. */
+  public static final String WITHDRAWN = "withdrawn by its author";
+
   /** Copies the collections so that the record stays immutable. */
   public ConfigurationState {
     objects = Collections.unmodifiableSortedMap(new TreeMap<>(objects));
@@ -99,5 +102,10 @@
     public boolean isAccepted() {
       return rejections.isEmpty();
     }
+
+    /** Returns whether the author gave the change up before the log held it. */
+    public boolean isWithdrawn() {
+      return rejections.equals(List.of(WITHDRAWN));
+    }
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ConfigurationController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ConfigurationController.java
@@ -1,29 +1,66 @@
 package org.dragonflyhill.daemon;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.dragonflyhill.core.ConfigurationObject;
 import org.dragonflyhill.core.ConfigurationState;
 import org.dragonflyhill.core.ObjectKey;
 import org.dragonflyhill.core.ObjectKind;
-import org.dragonflyhill.platform.ConfigurationLog;
+import org.dragonflyhill.core.SnapshotPolicy;
+import org.dragonflyhill.platform.ConfigurationReplay;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.LogEvent;
 import org.dragonflyhill.platform.LogFollower;
 import org.dragonflyhill.platform.LogPort;
+import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.platform.StateText;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 
 /**
- * Keeps the configuration of this node in step with the log.
+ * Keeps the configuration of this node in step with the log, and the log in step with its retention
+ * by appending snapshots.
  *
  * <p>Thread-safe; no argument may be null.
  */
 public final class ConfigurationController implements AutoCloseable {
 
+  private static final Logger LOGGER = LogManager.getLogger(ConfigurationController.class);
+  private static final Duration SNAPSHOT_INTERVAL = Duration.ofSeconds(1);
+
+  private final LogPort log;
+  private final NodeMetrics metrics;
+  private final InstantSource clock;
   private final LogFollower follower;
+  private final ConfigurationReplay replay;
   private volatile ConfigurationState state = ConfigurationState.empty();
+  private volatile Optional<String> problem = Optional.empty();
+  private volatile boolean isLogReadable;
+  private volatile StateText text = StateText.of(state);
+  private int changesSinceSnapshot;
+  private long snapshotOffset;
+  private Instant snapshotSeenAt;
+  private Optional<Instant> expiredSince = Optional.empty();
+  private Disposable writing = () -> {};
 
   /** Creates a controller that does not read yet. */
-  public ConfigurationController(LogPort log, NodeMetrics metrics) {
-    follower = new LogFollower(log, LogPort.CONFIGURATION_STREAM, 0, this::fold);
+  public ConfigurationController(LogPort log, NodeMetrics metrics, InstantSource clock) {
+    this.log = log;
+    this.metrics = metrics;
+    this.clock = clock;
+    snapshotSeenAt = clock.instant();
+    replay = new ConfigurationReplay(state, new Progress());
+    follower = new LogFollower(log, LogPort.CONFIGURATION_STREAM, 0, new Pages());
     metrics.gauge("configuration.version", () -> state.version());
     metrics.gauge("configuration.offset", () -> state.throughOffset());
+    metrics.gauge("configuration.behind", () -> problem.isPresent() ? 1 : 0);
   }
 
   /** Starts to follow the log. */
@@ -31,11 +68,60 @@
     follower.start();
   }
 
+  /**
+   * Starts to append snapshots.
+   *
+   * @param policy when to append
+   * @param ranking place of this node among the live nodes for a key
+   */
+  public synchronized void startSnapshots(SnapshotPolicy policy, Ranking ranking) {
+    writing =
+        Flux.interval(SNAPSHOT_INTERVAL)
+            .onBackpressureDrop()
+            .concatMap(tick -> writeIfDue(policy, ranking), 1)
+            .subscribe();
+  }
+
   /** Returns the configuration in force on this node. */
   public ConfigurationState state() {
     return state;
   }
 
+  /** Returns the configuration in force as text with its digest. */
+  public StateText text() {
+    ConfigurationState current = state;
+    StateText known = text;
+    if (known.through() == current.throughOffset()) {
+      return known;
+    }
+    // Worked out when asked for, once a state, since a start folds thousands of states.
+    StateText fresh = StateText.of(current);
+    text = fresh;
+    return fresh;
+  }
+
+  /** Returns why this node cannot follow the log, or empty where it can. */
+  public Optional<String> problem() {
+    return problem;
+  }
+
+  /** Returns whether the state may be behind and peers should be asked for a newer one. */
+  public boolean wantsPeers() {
+    return !isLogReadable || problem.isPresent();
+  }
+
+  /** Takes over the state of a peer if it is intact and ahead; returns whether it was taken. */
+  public synchronized boolean adopt(StateText peerText) {
+    boolean isTaken = replay.adopt(peerText);
+    if (isTaken) {
+      metrics.count("configuration.states_from_peers");
+      LogEvent.of("configuration_from_peer").with("offset", peerText.through()).info(LOGGER);
+      follower.skipTo(peerText.through() + 1);
+    }
+    publish();
+    return isTaken;
+  }
+
   /** Finds an object of the configuration in force. */
   public <T extends ConfigurationObject> Optional<T> find(
       ObjectKind kind, String name, Class<T> type) {
@@ -43,13 +129,95 @@
   }
 
   @Override
-  public void close() {
+  public synchronized void close() {
+    writing.dispose();
     follower.close();
   }
 
   private synchronized void fold(LogPort.Page page) {
-    for (LogPort.LogRecord record : page.records()) {
-      state = ConfigurationLog.fold(state, record);
+    replay.take(page);
+    publish();
+    isLogReadable = true;
+    boolean isExpired = page.earliest() > snapshotOffset;
+    if (isExpired && expiredSince.isEmpty()) {
+      expiredSince = Optional.of(clock.instant());
+    }
+  }
+
+  private void publish() {
+    state = replay.state();
+    Optional<String> now = replay.problem().map(ConfigurationReplay.Problem::detail);
+    if (now.isPresent() && problem.isEmpty()) {
+      LogEvent.of("configuration_behind").with("reason", now.get()).warn(LOGGER);
+    }
+    problem = now;
+  }
+
+  private Mono<Boolean> writeIfDue(SnapshotPolicy policy, Ranking ranking) {
+    SnapshotPolicy.Progress progress;
+    long lastOffset;
+    synchronized (this) {
+      progress = new SnapshotPolicy.Progress(changesSinceSnapshot, snapshotSeenAt, expiredSince);
+      lastOffset = snapshotOffset;
+    }
+    boolean isCurrent = state.version() >= 0 && problem.isEmpty() && follower.isCaughtUp();
+    int rank = ranking.rank("snapshot-" + lastOffset);
+    if (!isCurrent || !policy.isDue(progress, rank, clock.instant())) {
+      return Mono.just(false);
+    }
+    return log.append(LogPort.CONFIGURATION_STREAM, List.of(Json.write(text().snapshot())))
+        .map(
+            answer -> {
+              metrics.count(
+                  answer.isRight()
+                      ? "configuration.snapshots_written"
+                      : "configuration.snapshots_failed");
+              return answer.isRight();
+            });
+  }
+
+  /** Place of this node among the live nodes. */
+  public interface Ranking {
+
+    /** Returns the place for a key, 0 for the first. */
+    int rank(String key);
+  }
+
+  private final class Pages implements LogFollower.PageHandler {
+    @Override
+    public void page(LogPort.Page page) {
+      fold(page);
+    }
+
+    @Override
+    public void failed(PlatformError error) {
+      isLogReadable = false;
+      metrics.count("configuration.failed_reads");
+    }
+  }
+
+  private final class Progress implements ConfigurationReplay.Observer {
+    @Override
+    public void skipped(ConfigurationReplay.Skip reason, long offset, String detail) {
+      metrics.count("configuration.skipped." + reason.name().toLowerCase(Locale.ROOT));
+      LogEvent.of("configuration_record_skipped")
+          .with("reason", reason)
+          .with("offset", offset)
+          .with("detail", detail)
+          .warn(LOGGER);
+    }
+
+    @Override
+    public void changed(long offset) {
+      changesSinceSnapshot++;
+    }
+
+    @Override
+    public void snapshot(long offset, long through) {
+      changesSinceSnapshot = Math.toIntExact(offset - through - 1);
+      snapshotOffset = offset;
+      snapshotSeenAt = clock.instant();
+      expiredSince = Optional.empty();
     }
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -56,7 +56,7 @@
     var runners = new HttpRunner(endpointCaller, settings.platformTimeout());
     var caches = new HttpCache(endpointCaller, settings.platformTimeout());
 
-    var configuration = closer.add(new ConfigurationController(log, metrics));
+    var configuration = closer.add(new ConfigurationController(log, metrics, clock));
     var claims = closer.add(new ClaimController(log, settings.node(), metrics));
     var membership = closer.add(new MembershipController(hostList, metrics));
     var endpoints = closer.add(new EndpointController(configuration, membership, runners, clock));
