Let nodes exchange heartbeats and take the configuration from a peer during a log outage

Cause: a node that started while the log was down had no configuration, and a node that the log did not answer stayed behind although its neighbours had folded the accepted change.

Ruled out: contacting all peers each second (bytes grow with the square of the nodes) and connections kept open to chosen ones (at 320 nodes a chosen peer returns after minutes). Each second a node contacts two at random and passes on eight reports of others.

Change: peer module with framed MessagePack, proof of the shared secret in both directions, limits on frame length, connections and their lifetime; PeerController fetches a state from a peer that is ahead while the log cannot be followed, or has been ahead for a second. Order is the log's offset alone. GET /admin/nodes names what each node has.

--- a/core/src/main/java/org/dragonflyhill/core/SnapshotPolicy.java
+++ b/core/src/main/java/org/dragonflyhill/core/SnapshotPolicy.java
@@ -32,6 +32,11 @@
   public static final SnapshotPolicy DEFAULT =
       new SnapshotPolicy(DEFAULT_CHANGES, DEFAULT_MAX_AGE, DEFAULT_RANK_DELAY);
 
+  /** Returns this policy with another age at which a snapshot is due. */
+  public SnapshotPolicy withMaxAge(Duration age) {
+    return new SnapshotPolicy(changes, age, rankDelay);
+  }
+
   /**
    * Returns whether this node should append a snapshot now.
    *
--- a/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
@@ -18,6 +18,7 @@
   private final ConfigurationController configuration;
   private final ClaimController claims;
   private final DrainController drain;
+  private final PeerController peers;
   private final DisposableServer server;
 
   /** Starts to listen. */
@@ -25,11 +26,13 @@
       DaemonSettings settings,
       ConfigurationController configuration,
       ClaimController claims,
-      DrainController drain) {
+      DrainController drain,
+      PeerController peers) {
     this.settings = settings;
     this.configuration = configuration;
     this.claims = claims;
     this.drain = drain;
+    this.peers = peers;
     server =
         HttpServer.create()
             .host(settings.host())
@@ -41,6 +44,7 @@
                         .get(
                             "/admin/configuration",
                             (request, response) -> json(response, configuration()))
+                        .get("/admin/nodes", (request, response) -> json(response, nodes()))
                         .get(
                             "/admin/requests",
                             (request, response) -> json(response, claims.entries())))
@@ -64,7 +68,9 @@
         configuration.state().version(),
         configuration.state().throughOffset(),
         drain.runningRequests(),
-        drain.notReadyReason());
+        drain.notReadyReason(),
+        peers.port(),
+        configuration.problem());
   }
 
   private Configuration configuration() {
@@ -75,6 +81,15 @@
     return new Configuration(configuration.state().version(), objects);
   }
 
+  private List<KnownNode> nodes() {
+    return peers.nodes().stream()
+        .map(
+            entry ->
+                new KnownNode(
+                    entry.node(), entry.version(), entry.offset(), entry.heardAt().toEpochMilli()))
+        .toList();
+  }
+
   private static Publisher<Void> json(HttpServerResponse response, Object body) {
     byte[] bytes = Json.write(body).getBytes(StandardCharsets.UTF_8);
     return response.header("Content-Type", "application/json").sendByteArray(Mono.just(bytes));
@@ -89,6 +104,8 @@
    * @param configurationOffset offset of the last change read, -1 for none
    * @param runningRequests number of running requests
    * @param notReadyReason why it is not ready; empty if it is
+   * @param peerPort port for other nodes
+   * @param configurationProblem why it cannot follow the configuration; empty if it can
    */
   public record Status(
       String node,
@@ -96,7 +113,20 @@
       long configurationVersion,
       long configurationOffset,
       int runningRequests,
-      Optional<String> notReadyReason) {}
+      Optional<String> notReadyReason,
+      int peerPort,
+      Optional<String> configurationProblem) {}
+
+  /**
+   * What this node knows of another, or of itself.
+   *
+   * @param node name
+   * @param configurationVersion offset of the last accepted change, -1 for none
+   * @param configurationOffset offset of the last record read, -1 for none
+   * @param heardAtMillis when it said so, milliseconds since the epoch by this node's clock
+   */
+  public record KnownNode(
+      String node, long configurationVersion, long configurationOffset, long heardAtMillis) {}
 
   /**
    * Configuration in force on a node.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.dragonflyhill.core.SnapshotPolicy;
 import org.dragonflyhill.platform.SettingSpec;
 import org.dragonflyhill.platform.SettingValues;
 
@@ -24,6 +25,7 @@
  * @param bodyTimeout time limit of receiving a body
  * @param platformTimeout time limit of a call to the platform
  * @param balancerDelay how long a stopping node still accepts requests
+ * @param snapshotAge age of the configuration's last snapshot at which the next one is due
  */
 public record DaemonSettings(
     String node,
@@ -39,7 +41,8 @@
     int maxConnections,
     Duration bodyTimeout,
     Duration platformTimeout,
-    Duration balancerDelay) {
+    Duration balancerDelay,
+    Duration snapshotAge) {
 
   private static final int MIN_SECRET_LENGTH = 16;
   private static final int MAX_PORT = 65_535;
@@ -67,7 +70,12 @@
           SettingSpec.optional(
               "balancer-delay-millis",
               "3000",
-              "time for which a stopping node still accepts requests, in milliseconds"));
+              "time for which a stopping node still accepts requests, in milliseconds"),
+          SettingSpec.optional(
+              "snapshot-age-millis",
+              "1800000",
+              "age at which a snapshot of the configuration is renewed, well below the log's"
+                  + " retention, in milliseconds"));
 
   /** Reads the settings; what is wrong is in {@link SettingValues#faults()} afterwards. */
   public static DaemonSettings from(SettingValues values) {
@@ -85,6 +93,12 @@
         values.integer("max-connections", 1, 1_000_000),
         values.millis("body-timeout-millis"),
         values.millis("platform-timeout-millis"),
-        values.millis("balancer-delay-millis"));
+        values.millis("balancer-delay-millis"),
+        values.millis("snapshot-age-millis"));
+  }
+
+  /** Returns when this node appends snapshots of the configuration. */
+  public SnapshotPolicy snapshotPolicy() {
+    return SnapshotPolicy.DEFAULT.withMaxAge(snapshotAge);
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Main.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Main.java
@@ -30,7 +30,8 @@
     }
     Node node = new Node(settings, InstantSource.system());
     Runtime.getRuntime().addShutdownHook(new Thread(node::stopGracefully, "stop"));
-    System.out.println(Json.write(new Listening(node.httpPort(), node.adminPort())));
+    System.out.println(
+        Json.write(new Listening(node.httpPort(), node.adminPort(), node.peerPort())));
     new CountDownLatch(1).await();
   }
 
@@ -39,6 +40,7 @@
    *
    * @param httpPort port for callers
    * @param adminPort port for operators
+   * @param peerPort port for other nodes
    */
-  private record Listening(int httpPort, int adminPort) {}
+  private record Listening(int httpPort, int adminPort, int peerPort) {}
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.peer.PeerHandler;
 import org.dragonflyhill.platform.Closer;
 import org.dragonflyhill.platform.HttpCache;
 import org.dragonflyhill.platform.HttpCaller;
@@ -36,6 +37,7 @@
   private final DrainController drain = new DrainController();
   private final HttpFrontend frontend;
   private final AdminApi admin;
+  private final PeerController peers;
 
   /**
    * Puts a node together and starts it.
@@ -62,6 +64,17 @@
     var endpoints = closer.add(new EndpointController(configuration, membership, runners, clock));
     var cache = closer.add(new CacheController(configuration, caches, metrics));
 
+    peers =
+        closer.add(
+            new PeerController(
+                settings,
+                configuration,
+                membership,
+                PeerHandler.OutcomeSource.NONE,
+                metrics,
+                clock,
+                new java.util.Random()));
+
     final var pieceKeys =
         new PieceKeys(
             settings.secret().getBytes(StandardCharsets.UTF_8), PieceKeys.DEFAULT_PIECE_TOKENS);
@@ -75,6 +88,8 @@
     configuration.start();
     claims.start();
     membership.start();
+    peers.start();
+    configuration.startSnapshots(settings.snapshotPolicy(), peers::rank);
     endpoints.start();
     cache.start();
     List<RequestFilter> filters =
@@ -85,12 +100,13 @@
             new ClaimFilter(claims, clock));
     var chain = RequestFilter.chain(filters, new Dispatcher(completions, services));
     frontend = closer.add(new HttpFrontend(settings, chain, metrics, drain, clock));
-    admin = closer.add(new AdminApi(settings, configuration, claims, drain));
+    admin = closer.add(new AdminApi(settings, configuration, claims, drain, peers));
     markStarted(configuration);
     LogEvent.of("node_started")
         .with("node", settings.node())
         .with("http_port", frontend.port())
         .with("admin_port", admin.port())
+        .with("peer_port", peers.port())
         .info(LOGGER);
   }
 
@@ -104,6 +120,11 @@
     return admin.port();
   }
 
+  /** Returns the port for other nodes. */
+  public int peerPort() {
+    return peers.port();
+  }
+
   /** Stops without cutting a request: not ready, wait for the balancer, finish all, close. */
   public void stopGracefully() {
     drain.stop();
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PeerController.java
@@ -0,0 +1,260 @@
+package org.dragonflyhill.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.RendezvousHash;
+import org.dragonflyhill.peer.PeerClient;
+import org.dragonflyhill.peer.PeerError;
+import org.dragonflyhill.peer.PeerHandler;
+import org.dragonflyhill.peer.PeerMessage;
+import org.dragonflyhill.peer.PeerSecret;
+import org.dragonflyhill.peer.PeerServer;
+import org.dragonflyhill.peer.PeerState;
+import org.dragonflyhill.peer.PeerTable;
+import org.dragonflyhill.peer.PeerTraffic;
+import org.dragonflyhill.platform.HostListPort;
+import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.platform.StateText;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Exchanges heartbeats with a few peers at a time and takes the configuration from one that is
+ * ahead while the log cannot be followed.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class PeerController implements AutoCloseable, PeerHandler {
+
+  private static final Logger LOGGER = LogManager.getLogger(PeerController.class);
+  private static final Duration INTERVAL = Duration.ofSeconds(1);
+  private static final Duration TIMEOUT = Duration.ofMillis(800);
+  private static final Duration AHEAD_PATIENCE = Duration.ofSeconds(1);
+  private static final int PEERS_PER_INTERVAL = 2;
+  private static final int REPORTS_PER_HEARTBEAT = 8;
+
+  private final String node;
+  private final ConfigurationController configuration;
+  private final MembershipController membership;
+  private final NodeMetrics metrics;
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final PeerHandler.OutcomeSource outcomes;
+  private final PeerTable table = new PeerTable();
+  private final PeerServer server;
+  private final PeerClient client;
+  private Optional<Instant> aheadSince = Optional.empty();
+  private Disposable gossiping = () -> {};
+
+  /**
+   * Creates a controller that listens but contacts nobody yet.
+   *
+   * @param settings name, address and secret of this node
+   * @param configuration the configuration that is told and taken
+   * @param membership tells the peers
+   * @param outcomes tells what this node knows of non-repeatable requests
+   * @param metrics counters
+   * @param clock gives the present time
+   * @param random chooses peers
+   */
+  public PeerController(
+      DaemonSettings settings,
+      ConfigurationController configuration,
+      MembershipController membership,
+      PeerHandler.OutcomeSource outcomes,
+      NodeMetrics metrics,
+      InstantSource clock,
+      RandomGenerator random) {
+    this.node = settings.node();
+    this.configuration = configuration;
+    this.membership = membership;
+    this.outcomes = outcomes;
+    this.metrics = metrics;
+    this.clock = clock;
+    this.random = random;
+    PeerTraffic traffic = new PeerTraffic();
+    PeerSecret secret = new PeerSecret(settings.secret().getBytes(StandardCharsets.UTF_8));
+    client = new PeerClient(node, secret, traffic, TIMEOUT);
+    server = new PeerServer(settings.host(), settings.peerPort(), node, secret, this, traffic);
+    metrics.gauge("peer.sent_bytes", traffic::sentBytes);
+    metrics.gauge("peer.received_bytes", traffic::receivedBytes);
+    metrics.gauge("peer.refused_connections", traffic::refused);
+    metrics.gauge("peer.connections", server::connections);
+  }
+
+  /** Starts to contact peers. */
+  public synchronized void start() {
+    gossiping =
+        Flux.interval(Duration.ZERO, INTERVAL)
+            .onBackpressureDrop()
+            .concatMap(tick -> contactSome(), 1)
+            .subscribe();
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Returns what is known of each listed node, this one included. */
+  public synchronized List<PeerTable.Entry> nodes() {
+    table.heard(own(clock.instant()), clock.instant());
+    return table.entries();
+  }
+
+  /** Returns the place of this node among the live nodes for a key, 0 for the first. */
+  public int rank(String key) {
+    Set<String> names = new HashSet<>(peers().keySet());
+    names.add(node);
+    return RendezvousHash.rank(key, names).indexOf(node);
+  }
+
+  /** Asks all listed nodes what became of a non-repeatable request, by the name of each node. */
+  public Mono<Map<String, PeerMessage.Outcome>> outcomes(String organisation, String key) {
+    return Flux.fromIterable(peers().entrySet())
+        .flatMap(
+            peer ->
+                client
+                    .outcome(peer.getValue(), organisation, key)
+                    .map(answer -> Map.entry(peer.getKey(), answer)),
+            PEERS_PER_INTERVAL)
+        .filter(answer -> answer.getValue().isRight())
+        .collectMap(Map.Entry::getKey, answer -> answer.getValue().get());
+  }
+
+  @Override
+  public synchronized PeerMessage.Heartbeat heartbeat(PeerMessage.Heartbeat received) {
+    Instant now = clock.instant();
+    table.heard(received, now);
+    compare(received);
+    return own(now);
+  }
+
+  @Override
+  public Optional<PeerState> stateAheadOf(long offset) {
+    if (configuration.state().throughOffset() <= offset) {
+      return Optional.empty();
+    }
+    StateText text = configuration.text();
+    byte[] bytes = text.text().getBytes(StandardCharsets.UTF_8);
+    return Optional.of(new PeerState(text.schema(), text.through(), text.digest(), bytes));
+  }
+
+  @Override
+  public PeerMessage.Outcome outcome(String organisation, String idempotencyKey) {
+    return outcomes.outcome(organisation, idempotencyKey);
+  }
+
+  @Override
+  public synchronized void close() {
+    gossiping.dispose();
+    server.close();
+  }
+
+  private Map<String, String> peers() {
+    Map<String, String> addresses = new HashMap<>();
+    for (HostListPort.Host host : membership.live(HostListPort.Role.NODE)) {
+      addresses.put(host.name(), host.address());
+    }
+    addresses.remove(node);
+    return addresses;
+  }
+
+  private Mono<Void> contactSome() {
+    Map<String, String> peers = peers();
+    PeerMessage.Heartbeat own;
+    List<String> chosen;
+    synchronized (this) {
+      Set<String> listed = new HashSet<>(peers.keySet());
+      listed.add(node);
+      table.retain(listed);
+      own = own(clock.instant());
+      chosen = PeerTable.choose(peers.values(), PEERS_PER_INTERVAL, random);
+    }
+    return Flux.fromIterable(chosen).flatMap(address -> contact(address, own)).then();
+  }
+
+  private Mono<Void> contact(String address, PeerMessage.Heartbeat own) {
+    return client
+        .heartbeat(address, own)
+        .flatMap(
+            answer -> {
+              if (answer.isLeft()) {
+                failed(answer.getLeft());
+                return Mono.<Void>empty();
+              }
+              return isFetchDue(answer.get()) ? fetch(address) : Mono.<Void>empty();
+            });
+  }
+
+  private synchronized boolean isFetchDue(PeerMessage.Heartbeat heard) {
+    Instant now = clock.instant();
+    table.heard(heard, now);
+    compare(heard);
+    if (heard.offset() <= configuration.state().throughOffset()) {
+      aheadSince = Optional.empty();
+      return false;
+    }
+    // A peer is ahead for a moment after each change; for longer, the log no longer answers here.
+    Instant since = aheadSince.orElse(now);
+    aheadSince = Optional.of(since);
+    return configuration.wantsPeers() || !since.plus(AHEAD_PATIENCE).isAfter(now);
+  }
+
+  private Mono<Void> fetch(String address) {
+    return client
+        .stateAheadOf(address, configuration.state().throughOffset())
+        .doOnNext(answer -> answer.peek(state -> state.ifPresent(this::adopt)))
+        .doOnNext(answer -> answer.peekLeft(this::failed))
+        .then();
+  }
+
+  private void adopt(PeerState state) {
+    String text = new String(state.text(), StandardCharsets.UTF_8);
+    configuration.adopt(new StateText(state.schema(), state.through(), text, state.digest()));
+  }
+
+  private void compare(PeerMessage.Heartbeat heard) {
+    StateText text = configuration.text();
+    boolean isSame = heard.offset() == text.through();
+    if (isSame && heard.schema() == PeerMessage.SCHEMA && !heard.digest().equals(text.digest())) {
+      metrics.count("configuration.divergent_peers");
+      LogEvent.of("configuration_divergent")
+          .with("peer", heard.node())
+          .with("offset", heard.offset())
+          .warn(LOGGER);
+    }
+  }
+
+  private synchronized PeerMessage.Heartbeat own(Instant now) {
+    StateText text = configuration.text();
+    return new PeerMessage.Heartbeat(
+        PeerMessage.SCHEMA,
+        node,
+        text.through(),
+        configuration.state().version(),
+        text.digest(),
+        table.reports(REPORTS_PER_HEARTBEAT, random, now));
+  }
+
+  private void failed(PeerError error) {
+    metrics.count(
+        switch (error) {
+          case PeerError.Unreachable unreachable -> "peer.failed.unreachable";
+          case PeerError.NotAuthenticated wrong -> "peer.failed.not_authenticated";
+          case PeerError.Malformed malformed -> "peer.failed.malformed";
+        });
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/dragonflyhill/peer/PeerClient.java
@@ -0,0 +1,209 @@
+package org.dragonflyhill.peer;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Predicate;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.tcp.TcpClient;
+
+/**
+ * Asks other nodes, over one connection for each question.
+ *
+ * <pre>{@code
+ * PeerClient client = new PeerClient("node-a", secret, traffic, Duration.ofSeconds(2));
+ * Mono<Either<PeerError, PeerMessage.Heartbeat>> answer = client.heartbeat(address, heartbeat);
+ * }</pre>
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class PeerClient {
+
+  private final String node;
+  private final PeerSecret secret;
+  private final PeerTraffic traffic;
+  private final Duration timeout;
+  private final TcpClient client;
+
+  /**
+   * Creates a client.
+   *
+   * @param node name of this node
+   * @param secret the shared secret
+   * @param traffic counts bytes
+   * @param timeout time limit of connecting, and of each wait for a message
+   */
+  public PeerClient(String node, PeerSecret secret, PeerTraffic traffic, Duration timeout) {
+    this.node = node;
+    this.secret = secret;
+    this.traffic = traffic;
+    this.timeout = timeout;
+    client =
+        TcpClient.create(ConnectionProvider.newConnection())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(timeout.toMillis()))
+            .doOnConnected(connection -> connection.addHandlerLast(PeerCodec.decoder()));
+  }
+
+  /** Sends a heartbeat and returns that of the peer. */
+  public Mono<Either<PeerError, PeerMessage.Heartbeat>> heartbeat(
+      String address, PeerMessage.Heartbeat heartbeat) {
+    return result(
+        address,
+        call(address, heartbeat, message -> true).cast(PeerMessage.Heartbeat.class).single());
+  }
+
+  /** Returns the configuration of a peer, empty where it does not go beyond an offset. */
+  public Mono<Either<PeerError, Optional<PeerState>>> stateAheadOf(String address, long offset) {
+    var request = new PeerMessage.StateRequest(PeerMessage.SCHEMA, offset);
+    Mono<Optional<PeerState>> state =
+        call(address, request, PeerClient::isLast)
+            .cast(PeerMessage.StateReply.class)
+            .collect(Assembly::new, Assembly::add)
+            .map(Assembly::state);
+    return result(address, state);
+  }
+
+  /** Asks what became of a non-repeatable request. */
+  public Mono<Either<PeerError, PeerMessage.Outcome>> outcome(
+      String address, String organisation, String idempotencyKey) {
+    var question =
+        new PeerMessage.OutcomeQuestion(PeerMessage.SCHEMA, organisation, idempotencyKey);
+    return result(
+        address,
+        call(address, question, message -> true)
+            .cast(PeerMessage.OutcomeAnswer.class)
+            .map(PeerMessage.OutcomeAnswer::outcome)
+            .single());
+  }
+
+  private Flux<PeerMessage> call(
+      String address, PeerMessage request, Predicate<PeerMessage> isLast) {
+    int colon = address.lastIndexOf(':');
+    return client
+        .host(address.substring(0, colon))
+        .port(Integer.parseInt(address.substring(colon + 1)))
+        .connect()
+        .flatMapMany(connection -> new Session(connection, request).answers(isLast));
+  }
+
+  private static boolean isLast(PeerMessage message) {
+    return !(message instanceof PeerMessage.StateReply reply) || reply.part() + 1 >= reply.parts();
+  }
+
+  private static <T> Mono<Either<PeerError, T>> result(String address, Mono<T> answer) {
+    return answer
+        .map(Either::<PeerError, T>right)
+        .onErrorResume(error -> Mono.just(Either.left(classify(address, error))));
+  }
+
+  private static PeerError classify(String address, Throwable error) {
+    return switch (error) {
+      case PeerException known -> known.error();
+      case ClassCastException other -> new PeerError.Malformed(address + ": unexpected message");
+      default -> new PeerError.Unreachable(address + ": " + error);
+    };
+  }
+
+  /** One connection; used by one thread at a time. */
+  private final class Session {
+
+    private final Connection connection;
+    private final PeerMessage request;
+    private final byte[] nonce = secret.nonce();
+    private Optional<PeerMessage.Challenge> challenge = Optional.empty();
+    private boolean isConfirmed;
+
+    Session(Connection connection, PeerMessage request) {
+      this.connection = connection;
+      this.request = request;
+    }
+
+    Flux<PeerMessage> answers(Predicate<PeerMessage> isLast) {
+      return connection
+          .inbound()
+          .receive()
+          .asByteArray()
+          .concatMap(frame -> take(traffic.received(frame)))
+          .takeUntil(isLast)
+          .timeout(timeout)
+          .doFinally(signal -> connection.dispose());
+    }
+
+    private Flux<PeerMessage> take(byte[] frame) {
+      var read = PeerCodec.read(frame);
+      if (read.isLeft()) {
+        return Flux.error(new PeerException(new PeerError.Malformed(read.getLeft())));
+      }
+      if (isConfirmed) {
+        return Flux.fromStream(read.get().stream());
+      }
+      return switch (read.get().orElse(null)) {
+        case PeerMessage.Challenge first when challenge.isEmpty() -> prove(first);
+        case PeerMessage.Confirmation confirmation when challenge.isPresent() ->
+            confirm(challenge.get(), confirmation);
+        case null, default -> Flux.error(new PeerException(new PeerError.Malformed("out of turn")));
+      };
+    }
+
+    private Flux<PeerMessage> prove(PeerMessage.Challenge first) {
+      challenge = Optional.of(first);
+      byte[] mac = secret.mac(PeerSecret.Side.CONNECTING, first, node, nonce);
+      return send(new PeerMessage.Proof(PeerMessage.SCHEMA, node, nonce, mac));
+    }
+
+    private Flux<PeerMessage> confirm(
+        PeerMessage.Challenge first, PeerMessage.Confirmation confirmation) {
+      byte[] expected = secret.mac(PeerSecret.Side.LISTENING, first, node, nonce);
+      if (!PeerSecret.isEqual(expected, confirmation.mac())) {
+        return Flux.error(new PeerException(new PeerError.NotAuthenticated(first.node())));
+      }
+      isConfirmed = true;
+      return send(request);
+    }
+
+    private Flux<PeerMessage> send(PeerMessage message) {
+      byte[] frame = traffic.sent(PeerCodec.frame(message));
+      return connection
+          .outbound()
+          .sendObject(Unpooled.wrappedBuffer(frame))
+          .then()
+          .thenMany(Flux.empty());
+    }
+  }
+
+  /** Puts the parts of a state together. Not thread-safe. */
+  private static final class Assembly {
+
+    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    private Optional<PeerMessage.StateReply> last = Optional.empty();
+
+    void add(PeerMessage.StateReply reply) {
+      int expected = last.map(PeerMessage.StateReply::part).orElse(-1) + 1;
+      boolean isInOrder = reply.part() == expected || reply.parts() == 0;
+      if (!isInOrder || bytes.size() + reply.bytes().length > PeerState.MAX_BYTES) {
+        throw new PeerException(
+            new PeerError.Malformed("part " + reply.part() + ", expected " + expected));
+      }
+      bytes.writeBytes(reply.bytes());
+      last = Optional.of(reply);
+    }
+
+    Optional<PeerState> state() {
+      if (last.isEmpty() || last.get().part() + 1 < last.get().parts()) {
+        throw new PeerException(new PeerError.Unreachable("the connection ended early"));
+      }
+      PeerMessage.StateReply reply = last.get();
+      return reply.parts() == 0
+          ? Optional.empty()
+          : Optional.of(
+              new PeerState(
+                  reply.stateSchema(), reply.through(), reply.digest(), bytes.toByteArray()));
+    }
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/dragonflyhill/peer/PeerServer.java
@@ -0,0 +1,172 @@
+package org.dragonflyhill.peer;
+
+import io.netty.buffer.Unpooled;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.NettyInbound;
+import reactor.netty.NettyOutbound;
+import reactor.netty.tcp.TcpServer;
+
+/**
+ * Listens for other nodes.
+ *
+ * <p>A connection lives for a limited time, may send frames of limited length, and gets no answer
+ * before it is authenticated; connections beyond a limit are closed at once.
+ *
+ * <pre>{@code
+ * PeerServer server = new PeerServer("127.0.0.1", 0, "node-a", secret, handler, traffic);
+ * }</pre>
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class PeerServer implements AutoCloseable {
+
+  /** Most connections at one time. */
+  static final int MAX_CONNECTIONS = 128;
+
+  private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration CONNECTION_LIFETIME = Duration.ofSeconds(30);
+
+  private final String node;
+  private final PeerSecret secret;
+  private final PeerHandler handler;
+  private final PeerTraffic traffic;
+  private final AtomicInteger open = new AtomicInteger();
+  private final DisposableServer server;
+
+  /**
+   * Starts to listen.
+   *
+   * @param host IP number
+   * @param port port, 0 for any
+   * @param node name of this node
+   * @param secret the shared secret
+   * @param handler answers messages
+   * @param traffic counts bytes and refused connections
+   */
+  public PeerServer(
+      String host,
+      int port,
+      String node,
+      PeerSecret secret,
+      PeerHandler handler,
+      PeerTraffic traffic) {
+    this.node = node;
+    this.secret = secret;
+    this.handler = handler;
+    this.traffic = traffic;
+    server =
+        TcpServer.create()
+            .host(host)
+            .port(port)
+            .doOnConnection(connection -> connection.addHandlerLast(PeerCodec.decoder()))
+            .handle(this::serve)
+            .bindNow();
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Returns the number of open connections. */
+  public int connections() {
+    return open.get();
+  }
+
+  @Override
+  public void close() {
+    server.disposeNow();
+  }
+
+  private Publisher<Void> serve(NettyInbound in, NettyOutbound out) {
+    if (open.incrementAndGet() > MAX_CONNECTIONS) {
+      open.decrementAndGet();
+      traffic.refuse();
+      return Mono.empty();
+    }
+    Session session = new Session();
+    Flux<PeerMessage> answers =
+        in.receive()
+            .asByteArray()
+            .concatMap(frame -> session.take(traffic.received(frame)))
+            .takeUntilOther(session.handshakeMissed())
+            .takeUntilOther(Mono.delay(CONNECTION_LIFETIME));
+    Flux<byte[]> frames =
+        Flux.concat(Mono.just(session.challenge), answers)
+            .map(message -> traffic.sent(PeerCodec.frame(message)));
+    return out.sendObject(frames.map(Unpooled::wrappedBuffer), buffer -> true)
+        .then()
+        .onErrorResume(error -> Mono.fromRunnable(traffic::refuse))
+        .doFinally(signal -> open.decrementAndGet());
+  }
+
+  /** One connection; used by one thread at a time. */
+  private final class Session {
+
+    private final PeerMessage.Challenge challenge =
+        new PeerMessage.Challenge(PeerMessage.SCHEMA, node, secret.nonce());
+    private volatile boolean isAuthenticated;
+
+    Mono<Long> handshakeMissed() {
+      return Mono.delay(HANDSHAKE_TIMEOUT).filter(tick -> !isAuthenticated);
+    }
+
+    Flux<PeerMessage> take(byte[] frame) {
+      var read = PeerCodec.read(frame);
+      if (read.isLeft()) {
+        return malformed(read.getLeft());
+      }
+      Optional<PeerMessage> message = read.get();
+      if (!isAuthenticated) {
+        return message
+            .filter(PeerMessage.Proof.class::isInstance)
+            .map(PeerMessage.Proof.class::cast)
+            .map(this::authenticate)
+            .orElseGet(() -> malformed("a message before the proof"));
+      }
+      return message.map(this::answer).orElseGet(Flux::empty);
+    }
+
+    private Flux<PeerMessage> authenticate(PeerMessage.Proof proof) {
+      byte[] expected =
+          secret.mac(PeerSecret.Side.CONNECTING, challenge, proof.node(), proof.nonce());
+      if (!PeerSecret.isNonce(proof.nonce()) || !PeerSecret.isEqual(expected, proof.mac())) {
+        return Flux.error(new PeerException(new PeerError.NotAuthenticated("wrong proof")));
+      }
+      isAuthenticated = true;
+      byte[] mac = secret.mac(PeerSecret.Side.LISTENING, challenge, proof.node(), proof.nonce());
+      return Flux.just(new PeerMessage.Confirmation(PeerMessage.SCHEMA, mac));
+    }
+
+    private Flux<PeerMessage> answer(PeerMessage message) {
+      return switch (message) {
+        case PeerMessage.Heartbeat heartbeat -> Flux.just(handler.heartbeat(heartbeat));
+        case PeerMessage.StateRequest request ->
+            handler
+                .stateAheadOf(request.aheadOf())
+                .<Flux<PeerMessage>>map(state -> Flux.fromIterable(state.parts()))
+                .orElseGet(() -> Flux.just(PeerState.none()));
+        case PeerMessage.OutcomeQuestion question ->
+            Flux.just(
+                new PeerMessage.OutcomeAnswer(
+                    PeerMessage.SCHEMA,
+                    handler.outcome(question.organisation(), question.idempotencyKey())));
+        case PeerMessage.Challenge ignored -> malformed("a second challenge");
+        case PeerMessage.Proof ignored -> malformed("a second proof");
+        case PeerMessage.Confirmation ignored -> malformed("a confirmation");
+        case PeerMessage.StateReply ignored -> malformed("a reply without a request");
+        case PeerMessage.OutcomeAnswer ignored -> malformed("an answer without a question");
+      };
+    }
+
+    private static Flux<PeerMessage> malformed(String detail) {
+      return Flux.error(new PeerException(new PeerError.Malformed(detail)));
+    }
+  }
+}
--- /dev/null
+++ b/peer/src/test/java/org/dragonflyhill/peer/PeerExchangeTest.java
@@ -0,0 +1,80 @@
+package org.dragonflyhill.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PeerServer} and {@link PeerClient} together. */
+public final class PeerExchangeTest {
+
+  private static final int STATE_BYTES = 300_000;
+
+  private final FakeHandler handler = new FakeHandler(STATE_BYTES);
+  private final PeerTraffic traffic = new PeerTraffic();
+  private PeerServer server;
+  private String address;
+
+  /** Starts to listen. */
+  @BeforeMethod
+  public void start() {
+    server = new PeerServer("127.0.0.1", 0, "listener", secret("right"), handler, traffic);
+    address = "127.0.0.1:" + server.port();
+  }
+
+  /** Stops listening. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    server.close();
+  }
+
+  private static PeerSecret secret(String text) {
+    return new PeerSecret(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static PeerClient client(String secret) {
+    return new PeerClient("caller", secret(secret), new PeerTraffic(), Duration.ofSeconds(5));
+  }
+
+  @Test
+  public void exchangesHeartbeats() {
+    var answer = client("right").heartbeat(address, FakeHandler.of("caller", 3)).block();
+    assertEquals(answer.get(), FakeHandler.of("listener", 7));
+  }
+
+  @Test
+  public void fetchesStateLargerThanFrame() {
+    PeerState state = client("right").stateAheadOf(address, 3).block().get().orElseThrow();
+    assertEquals(state.through(), 7);
+    assertEquals(state.text(), handler.text());
+  }
+
+  @Test
+  public void fetchesNothingWhenPeerIsNotAhead() {
+    assertTrue(client("right").stateAheadOf(address, 7).block().get().isEmpty());
+  }
+
+  @Test
+  public void answersQuestionAboutOutcome() {
+    var answer = client("right").outcome(address, "granja", "k").block();
+    assertEquals(answer.get(), PeerMessage.Outcome.RUNNING);
+  }
+
+  @Test
+  public void refusesCallerWithWrongSecret() {
+    var answer = client("wrong").heartbeat(address, FakeHandler.of("caller", 3)).block();
+    assertTrue(answer.isLeft());
+    assertEquals(traffic.refused(), 1);
+  }
+
+  @Test
+  public void saysUnreachableWhenNobodyListens() {
+    server.close();
+    var answer = client("right").heartbeat(address, FakeHandler.of("caller", 3)).block();
+    assertTrue(answer.getLeft() instanceof PeerError.Unreachable, answer.toString());
+  }
+}
--- /dev/null
+++ b/peer/src/test/java/org/dragonflyhill/peer/PeerTableTest.java
@@ -0,0 +1,50 @@
+package org.dragonflyhill.peer;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PeerTable}. */
+public final class PeerTableTest {
+
+  private static final Instant NOW = Instant.EPOCH.plusSeconds(100);
+
+  private PeerTable table;
+
+  /** Starts with an empty table. */
+  @BeforeMethod
+  public void start() {
+    table = new PeerTable();
+  }
+
+  private static PeerMessage.Heartbeat heartbeat(long offset, PeerMessage.NodeReport... reports) {
+    return new PeerMessage.Heartbeat(1, "node-a", offset, offset, "d", List.of(reports));
+  }
+
+  @Test
+  public void keepsTheYoungerOfTwoReports() {
+    table.heard(heartbeat(1, new PeerMessage.NodeReport("node-b", 5, 5, 1_000)), NOW);
+    table.heard(heartbeat(1, new PeerMessage.NodeReport("node-b", 4, 4, 9_000)), NOW);
+    assertEquals(table.entries().get(1).offset(), 5);
+    assertEquals(table.entries().get(1).heardAt(), NOW.minusSeconds(1));
+  }
+
+  @Test
+  public void reportsNoMoreThanAsked() {
+    table.heard(heartbeat(1, new PeerMessage.NodeReport("node-b", 5, 5, 0)), NOW);
+    assertEquals(table.reports(1, new Random(1), NOW).size(), 1);
+    assertEquals(table.reports(9, new Random(1), NOW).size(), 2);
+  }
+
+  @Test
+  public void forgetsNodesThatAreNoLongerListed() {
+    table.heard(heartbeat(1, new PeerMessage.NodeReport("node-b", 5, 5, 0)), NOW);
+    table.retain(Set.of("node-b"));
+    assertEquals(table.entries().getFirst().node(), "node-b");
+  }
+}
