--- a/cli/src/main/java/org/dragonflyhill/cli/Changes.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Changes.java
@@ -11,6 +11,7 @@
 import org.apache.commons.cli.Options;
 import org.dragonflyhill.core.ChangeRecord;
 import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.platform.ChangeOutcome;
 import org.dragonflyhill.platform.ConfigurationLog;
 
 /**
@@ -63,8 +64,8 @@
     return waitSeconds(line)
         .flatMap(
             seconds ->
-                append(log, current, change.get())
-                    .flatMap(decision -> accepted(decision, line, seconds)));
+                accepted(log.submit(current, change.get()).block())
+                    .flatMap(accepted -> printAccepted(accepted, line, seconds)));
   }
 
   /** Prints each object that a change touches. */
@@ -102,37 +103,33 @@
                 + MAX_WAIT_SECONDS));
   }
 
-  private Either<CommandError, ConfigurationState.ChangeDecision> append(
-      ConfigurationLog log, ConfigurationState current, ChangeRecord change) {
-    return log.append(current, change)
-        .block()
-        .mapLeft(CommandError::of)
-        .flatMap(state -> decision(state, change));
+  private static Either<CommandError, ChangeOutcome.Accepted> accepted(ChangeOutcome outcome) {
+    return switch (outcome) {
+      case ChangeOutcome.Accepted accepted -> Either.right(accepted);
+      case ChangeOutcome.Rejected rejected ->
+          Either.left(CommandError.refused(String.join("\n", rejected.reasons())));
+      case ChangeOutcome.NotAppended none ->
+          Either.left(
+              new CommandError(
+                  ExitCode.UNAVAILABLE, "not changed, may be tried again: " + none.detail()));
+      case ChangeOutcome.Unknown unknown ->
+          Either.left(
+              new CommandError(
+                  ExitCode.UNKNOWN,
+                  "not known whether change "
+                      + unknown.changeId()
+                      + " was appended, see history: "
+                      + unknown.detail()));
+    };
   }
 
-  private static Either<CommandError, ConfigurationState.ChangeDecision> decision(
-      ConfigurationState state, ChangeRecord change) {
-    return state
-        .decision(change.changeId())
-        .map(Either::<CommandError, ConfigurationState.ChangeDecision>right)
-        .orElseGet(
-            () ->
-                Either.left(
-                    new CommandError(
-                        ExitCode.UNKNOWN,
-                        "change " + change.changeId() + " is not in the log yet; see history")));
-  }
-
-  private Either<CommandError, ExitCode> accepted(
-      ConfigurationState.ChangeDecision decision, CommandLine line, int waitSeconds) {
-    if (!decision.isAccepted()) {
-      return Either.left(CommandError.refused(String.join("\n", decision.rejections())));
-    }
-    session.output().print(decision, Output.Table.text("accepted as version " + decision.offset()));
+  private Either<CommandError, ExitCode> printAccepted(
+      ChangeOutcome.Accepted accepted, CommandLine line, int waitSeconds) {
+    session.output().print(accepted, Output.Table.text("accepted as version " + accepted.offset()));
     if (!line.hasOption("wait")) {
       return Either.right(ExitCode.OK);
     }
-    return session.nodes().flatMap(nodes -> await(nodes, decision.offset(), waitSeconds));
+    return session.nodes().flatMap(nodes -> await(nodes, accepted.offset(), waitSeconds));
   }
 
   private Either<CommandError, ExitCode> await(List<String> nodes, long version, int waitSeconds) {
--- a/cli/src/main/java/org/dragonflyhill/cli/HistoryReader.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/HistoryReader.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.dragonflyhill.core.ConfigurationState;
-import org.dragonflyhill.platform.ConfigurationLog;
+import org.dragonflyhill.platform.ConfigurationReplay;
 import org.dragonflyhill.platform.LogPort;
 import org.dragonflyhill.platform.PlatformError;
 
@@ -28,28 +28,30 @@
   /** Returns the states after each change, oldest first. */
   Either<CommandError, List<Step>> steps() {
     List<Step> steps = new ArrayList<>();
-    ConfigurationState state = ConfigurationState.empty();
+    var replay =
+        new ConfigurationReplay(ConfigurationState.empty(), ConfigurationReplay.Observer.NONE);
+    long from = 0;
     while (true) {
       Either<PlatformError, LogPort.Page> read =
-          log.read(
-                  LogPort.CONFIGURATION_STREAM,
-                  state.throughOffset() + 1,
-                  PAGE_RECORDS,
-                  Duration.ZERO)
-              .block();
+          log.read(LogPort.CONFIGURATION_STREAM, from, PAGE_RECORDS, Duration.ZERO).block();
       if (read.isLeft()) {
         return Either.left(CommandError.of(read.getLeft()));
       }
-      for (LogPort.LogRecord record : read.get().records()) {
-        state = ConfigurationLog.fold(state, record);
-        decided(state, record.offset()).ifPresent(steps::add);
-      }
-      if (read.get().records().isEmpty() || state.throughOffset() + 1 >= read.get().next()) {
+      LogPort.Page page = read.get();
+      page.records().forEach(record -> take(replay, page, record, steps));
+      from = page.records().isEmpty() ? page.next() : page.records().getLast().offset() + 1;
+      if (from >= page.next()) {
         return Either.right(steps);
       }
     }
   }
 
+  private static void take(
+      ConfigurationReplay replay, LogPort.Page page, LogPort.LogRecord record, List<Step> steps) {
+    replay.take(new LogPort.Page(page.earliest(), page.next(), List.of(record)));
+    decided(replay.state(), record.offset()).ifPresent(steps::add);
+  }
+
   private static Optional<Step> decided(ConfigurationState state, long offset) {
     if (state.decisions().isEmpty() || state.decisions().getLast().offset() != offset) {
       return Optional.empty();
