Claim non-repeatable requests within stated limits and settle them in the background

Cause: a claim waited for ever when the log's follower stood still, a lost append answer left a claim that nobody released, a settle that failed was dropped, a caller that went away cancelled a dispatched call, an outcome query said "not run" for a key that another node was claiming, and an answer 503 of a service counted as proof that nothing had run.

Change: one decision for each claim (won, lost, given up), a read forward after a lost answer, release of given up claims by the node that knows, a check right before the first byte, grouped appends, outcomes repeated until the log takes them, a window counted in the stream's own time, resolution by operators, and a fault switch for each step.

--- a/core/src/main/java/org/dragonflyhill/core/ClaimEvent.java
+++ b/core/src/main/java/org/dragonflyhill/core/ClaimEvent.java
@@ -1,5 +1,7 @@
 package org.dragonflyhill.core;
 
+import java.util.Optional;
+
 /**
  * One event about a non-repeatable request, as nodes append it to the log.
  *
@@ -31,9 +33,12 @@
    * @param key the request
    * @param claimId the claim that ran it
    * @param status HTTP status of the answer
-   * @param answer body of the answer
+   * @param answer body of the answer; empty where it is too large to be kept
+   * @param answerDigest digest of the body
    */
-  record Settled(RequestKey key, String claimId, int status, String answer) implements ClaimEvent {}
+  record Settled(
+      RequestKey key, String claimId, int status, Optional<String> answer, String answerDigest)
+      implements ClaimEvent {}
 
   /**
    * The claiming node knows that nothing was sent.
--- a/core/src/main/java/org/dragonflyhill/core/ClaimTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/ClaimTable.java
@@ -19,8 +19,21 @@
  */
 public final class ClaimTable {
 
+  private final ClaimWindow window;
+  private final ClaimClock clock = new ClaimClock();
   private final Map<ClaimEvent.RequestKey, Entry> entries = new LinkedHashMap<>();
   private long throughOffset = -1;
+  private long forgottenUnknown;
+
+  /** Creates an empty table with the window of the product. */
+  public ClaimTable() {
+    this(ClaimWindow.DEFAULT);
+  }
+
+  /** Creates an empty table. */
+  public ClaimTable(ClaimWindow window) {
+    this.window = window;
+  }
 
   /** Folds one event; an offset that was folded before changes nothing. */
   public void apply(long offset, ClaimEvent event) {
@@ -29,13 +42,28 @@
     }
     throughOffset = offset;
     switch (event) {
-      case ClaimEvent.Claimed claimed -> entries.putIfAbsent(claimed.key(), Entry.of(claimed));
+      case ClaimEvent.Claimed claimed -> claim(claimed);
       case ClaimEvent.Settled settled -> settle(settled);
       case ClaimEvent.Released released -> release(released);
       case ClaimEvent.Resolved resolved -> resolve(resolved);
     }
   }
 
+  /** Passes over a record that no node can read. */
+  public void skip(long offset) {
+    throughOffset = Math.max(throughOffset, offset);
+  }
+
+  /** Returns whether a copy of the request still gets the outcome of the first one. */
+  public boolean isRecognised(Entry entry) {
+    return age(entry) <= window.recognised().toMillis();
+  }
+
+  /** Returns how many claims were forgotten though nobody had found out their outcome. */
+  public long forgottenUnknown() {
+    return forgottenUnknown;
+  }
+
   /** Returns the offset of the last folded event, -1 where there is none. */
   public long throughOffset() {
     return throughOffset;
@@ -51,14 +79,39 @@
     return Collections.unmodifiableCollection(entries.values());
   }
 
+  private void claim(ClaimEvent.Claimed claimed) {
+    clock.observe(claimed.node(), claimed.atMillis());
+    forget();
+    // A later claim on a known key restarts its window. So of two claims within one window the
+    // second never wins, even on a node that forgot or kept an older entry longer than others.
+    // The latest time counts from here on: while few nodes claim, the time of the stream stands.
+    Entry first =
+        Optional.ofNullable(entries.remove(claimed.key())).orElseGet(() -> Entry.of(claimed));
+    entries.put(claimed.key(), first.seenAt(clock.latestMillis()));
+  }
+
+  private void forget() {
+    var oldest = entries.values().iterator();
+    while (oldest.hasNext()) {
+      Entry entry = oldest.next();
+      if (age(entry) <= window.total().toMillis()) {
+        return;
+      }
+      if (entry.outcome().isEmpty()) {
+        forgottenUnknown++;
+      }
+      oldest.remove();
+    }
+  }
+
+  private long age(Entry entry) {
+    return clock.millis() - entry.seenMillis();
+  }
+
   private void settle(ClaimEvent.Settled settled) {
     current(settled)
         .filter(entry -> entry.outcome().isEmpty())
-        .ifPresent(
-            entry ->
-                entries.put(
-                    settled.key(),
-                    entry.withOutcome(new Outcome.Ran(settled.status(), settled.answer()))));
+        .ifPresent(entry -> entries.put(settled.key(), entry.withOutcome(Outcome.Ran.of(settled))));
   }
 
   private void release(ClaimEvent.Released released) {
@@ -92,6 +145,8 @@
    * @param node node that claimed
    * @param requestDigest digest of the request
    * @param atMillis time of the claim, milliseconds since the epoch
+   * @param seenMillis latest time in the stream when the key was last claimed; its window starts
+   *     there
    * @param outcome what became of it; empty while unknown
    */
   public record Entry(
@@ -100,6 +155,7 @@
       String node,
       String requestDigest,
       long atMillis,
+      long seenMillis,
       Optional<Outcome> outcome) {
 
     static Entry of(ClaimEvent.Claimed claimed) {
@@ -109,11 +165,17 @@
           claimed.node(),
           claimed.requestDigest(),
           claimed.atMillis(),
+          claimed.atMillis(),
           Optional.empty());
     }
 
-    Entry withOutcome(Outcome known) {
-      return new Entry(key, claimId, node, requestDigest, atMillis, Optional.of(known));
+    /** Returns the same claim with its outcome. */
+    public Entry withOutcome(Outcome known) {
+      return new Entry(key, claimId, node, requestDigest, atMillis, seenMillis, Optional.of(known));
+    }
+
+    Entry seenAt(long millis) {
+      return new Entry(key, claimId, node, requestDigest, atMillis, millis, outcome);
     }
   }
 
@@ -124,9 +186,16 @@
      * It ran and this is the answer.
      *
      * @param status HTTP status
-     * @param answer body
+     * @param answer body; empty where it was too large to be kept
+     * @param answerDigest digest of the body
      */
-    record Ran(int status, String answer) implements Outcome {}
+    record Ran(int status, Optional<String> answer, String answerDigest) implements Outcome {
+
+      /** Returns the outcome that an event tells. */
+      public static Ran of(ClaimEvent.Settled settled) {
+        return new Ran(settled.status(), settled.answer(), settled.answerDigest());
+      }
+    }
 
     /**
      * An operator found that it ran; its answer is lost.
--- a/core/src/main/java/org/dragonflyhill/core/RefusalReason.java
+++ b/core/src/main/java/org/dragonflyhill/core/RefusalReason.java
@@ -26,6 +26,8 @@
   IN_PROGRESS(409),
   /** The request was claimed, and its outcome is not known. */
   OUTCOME_UNKNOWN(409),
+  /** The request ran, and its answer was too large to be kept or is lost. */
+  ANSWER_NOT_KEPT(409),
   /** The body is larger than allowed. */
   BODY_TOO_LARGE(413),
   /** The organisation has used up its limit. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.daemon;
 
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
 /** The operators' interface of a node, JSON over HTTP. Thread-safe; nothing is null. */
@@ -16,7 +18,7 @@
 
   private final DaemonSettings settings;
   private final ConfigurationController configuration;
-  private final ClaimController claims;
+  private final ClaimAdmin claims;
   private final DrainController drain;
   private final DisposableServer server;
 
@@ -24,7 +26,7 @@
   public AdminApi(
       DaemonSettings settings,
       ConfigurationController configuration,
-      ClaimController claims,
+      ClaimAdmin claims,
       DrainController drain) {
     this.settings = settings;
     this.configuration = configuration;
@@ -43,7 +45,9 @@
                             (request, response) -> json(response, configuration()))
                         .get(
                             "/admin/requests",
-                            (request, response) -> json(response, claims.entries())))
+                            (request, response) ->
+                                json(response, claims.list(query(request.uri(), "state"))))
+                        .post("/admin/requests/resolve", this::resolve))
             .bindNow();
   }
 
@@ -75,6 +79,21 @@
     return new Configuration(configuration.state().version(), objects);
   }
 
+  private Publisher<Void> resolve(HttpServerRequest request, HttpServerResponse response) {
+    return request
+        .receive()
+        .aggregate()
+        .asString()
+        .defaultIfEmpty("")
+        .flatMap(claims::resolve)
+        .flatMap(result -> Mono.from(json(response.status(result.status()), result)));
+  }
+
+  private static Optional<String> query(String uri, String name) {
+    return Optional.ofNullable(new QueryStringDecoder(uri).parameters().get(name))
+        .map(List::getFirst);
+  }
+
   private static Publisher<Void> json(HttpServerResponse response, Object body) {
     byte[] bytes = Json.write(body).getBytes(StandardCharsets.UTF_8);
     return response.header("Content-Type", "application/json").sendByteArray(Mono.just(bytes));
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimController.java
@@ -1,19 +1,24 @@
 package org.dragonflyhill.daemon;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.ConcurrentHashMap;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflyhill.core.ClaimEvent;
+import org.dragonflyhill.core.ClaimEvent.RequestKey;
 import org.dragonflyhill.core.ClaimTable;
+import org.dragonflyhill.core.ClaimWindow;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.Json;
 import org.dragonflyhill.platform.LogEvent;
 import org.dragonflyhill.platform.LogFollower;
 import org.dragonflyhill.platform.LogPort;
@@ -24,27 +29,68 @@
 /**
  * Claims non-repeatable requests through the log, whose order decides who runs them.
  *
- * <p>Thread-safe; no argument may be null.
+ * <p>A claim ends in exactly one of three ways: won, lost, or given up. One that is given up is
+ * never dispatched, even if the log turns out to hold it; then this node releases it. Thread-safe;
+ * no argument may be null.
  */
 public final class ClaimController implements AutoCloseable {
 
   private static final Logger LOGGER = LogManager.getLogger(ClaimController.class);
+  private static final int PAGE_RECORDS = 1_000;
+  private static final int MAX_ENTRIES = 100_000;
+  private static final int MAX_GIVEN_UP = 100_000;
+  private static final Duration MIN_RETRY_AFTER = Duration.ofSeconds(1);
+  private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(30);
 
   private final LogPort log;
   private final String node;
   private final NodeMetrics metrics;
-  private final ClaimTable table = new ClaimTable();
-  private final Map<String, Sinks.One<ClaimTable.Entry>> waiting = new ConcurrentHashMap<>();
+  private final InstantSource clock;
+  private final ClaimLimits limits;
+  private final ClaimStepFault fault;
+  private final ClaimTable table;
+  private final ClaimReader reader;
+  private final ClaimAppender appender;
   private final LogFollower follower;
-  private boolean isWindowRead;
+  private final Map<String, Pending> pending = new HashMap<>();
+  private final Map<String, RequestKey> givenUp = new LinkedHashMap<>();
+  private final Map<String, Optional<ClaimTable.Outcome>> running = new HashMap<>();
+  private List<Pending> inDoubt = new ArrayList<>();
+  private Optional<Instant> logFailingSince = Optional.empty();
+  private boolean isReadingForward;
 
-  /** Creates a controller that does not read yet. */
-  public ClaimController(LogPort log, String node, NodeMetrics metrics) {
+  /**
+   * Creates a controller that does not read yet.
+   *
+   * @param log the log service
+   * @param node name of this node
+   * @param window how long keys are recognised, the same on all nodes
+   * @param limits time limits
+   * @param fault fault switch of tests
+   * @param metrics counts what happens to claims
+   * @param clock gives the present time where a page of the log or a timer asks for it
+   */
+  ClaimController(
+      LogPort log,
+      String node,
+      ClaimWindow window,
+      ClaimLimits limits,
+      ClaimStepFault fault,
+      NodeMetrics metrics,
+      InstantSource clock) {
     this.log = log;
     this.node = node;
+    this.limits = limits;
+    this.fault = fault;
     this.metrics = metrics;
-    follower = new LogFollower(log, LogPort.CLAIM_STREAM, 0, this::fold);
+    this.clock = clock;
+    table = new ClaimTable(window);
+    reader = new ClaimReader(window, table, metrics, this::folded);
+    appender = new ClaimAppender(log, metrics);
+    follower = new LogFollower(log, LogPort.CLAIM_STREAM, 0, this::read);
+    metrics.gauge("claims.entries", this::entryCount);
     metrics.gauge("claims.unknown", this::unknownCount);
+    metrics.gauge("claims.forgotten_unknown", this::forgottenUnknown);
   }
 
   /** Starts to follow the log. */
@@ -53,90 +99,329 @@
   }
 
   /**
-   * Claims a request. The claim won if the entry carries the id that this call made.
+   * Claims a request. The result is never later than the limit, and a refusal is true: this node
+   * did not dispatch the request and will not.
    *
    * @param key the request
    * @param digest digest of the request
+   * @param deadline when the caller's time is over
    * @param now present time
    */
-  public Mono<Either<Refusal, Claim>> claim(ClaimEvent.RequestKey key, String digest, Instant now) {
+  public Mono<Either<Refusal, Claim>> claim(
+      RequestKey key, String digest, Instant deadline, Instant now) {
+    String claimId = node + "-" + UUID.randomUUID();
+    Pending mine = new Pending(key, claimId, System.nanoTime(), Sinks.one());
     synchronized (this) {
-      if (!isWindowRead) {
-        return refuse(RefusalReason.CLAIMS_NOT_READ, "this node has not read all claims yet");
-      }
-      Optional<ClaimTable.Entry> known = table.entry(key);
+      Optional<Either<Refusal, Claim>> known = decideLocally(key, now);
       if (known.isPresent()) {
-        return Mono.just(Either.right(new Claim(known.get(), false)));
+        return Mono.just(known.get());
       }
+      pending.put(claimId, mine);
     }
-    String claimId = node + "-" + UUID.randomUUID();
     var claimed = new ClaimEvent.Claimed(key, claimId, node, digest, now.toEpochMilli());
-    Sinks.One<ClaimTable.Entry> folded = Sinks.one();
-    waiting.put(claimId, folded);
-    return append(claimed)
-        .flatMap(
-            answer ->
-                answer.isLeft()
-                    ? ClaimController.<Claim>refuse(
-                        RefusalReason.LOG_UNAVAILABLE, "the log did not take the claim")
-                    : folded
-                        .asMono()
-                        .map(
-                            entry ->
-                                Either.<Refusal, Claim>right(
-                                    new Claim(entry, entry.claimId().equals(claimId)))))
-        .doFinally(signal -> waiting.remove(claimId));
+    appender.appendOnce(claimed).subscribe(answer -> appended(mine, answer));
+    Duration limit = shorter(limits.claim(), Duration.between(now, deadline).dividedBy(2));
+    return mine.result().asMono().timeout(limit, Mono.defer(() -> timedOut(mine)));
+  }
+
+  /**
+   * Returns whether a claim that was won may still be dispatched. Asked right before the first
+   * byte, so that a node that was paused meanwhile does not act on what was true before.
+   *
+   * @param claim the claim
+   * @param now present time
+   * @param nanos present reading of the monotonic clock, which a step of the clock cannot turn back
+   */
+  public synchronized boolean mayDispatch(Claim claim, Instant now, long nanos) {
+    ClaimTable.Entry entry = claim.entry();
+    Duration age = Duration.between(Instant.ofEpochMilli(entry.atMillis()), now);
+    boolean isInTime =
+        age.compareTo(limits.dispatch()) <= 0
+            && nanos - claim.startNanos() <= limits.dispatch().toNanos();
+    boolean isLive =
+        table
+            .entry(entry.key())
+            .filter(current -> current.claimId().equals(entry.claimId()))
+            .filter(current -> current.outcome().isEmpty())
+            .isPresent();
+    return isInTime && isLive && running.containsKey(entry.claimId());
+  }
+
+  /** Notes that a request of this node ran, and appends its outcome until the log takes it. */
+  public Mono<Void> settle(ClaimEvent.Settled settled) {
+    synchronized (this) {
+      running.put(settled.claimId(), Optional.of(ClaimTable.Outcome.Ran.of(settled)));
+    }
+    return appender.appendOutcome(settled).doOnNext(offset -> ended(settled.claimId())).then();
+  }
+
+  /** Notes that a claim of this node was never dispatched and never will be. */
+  public Mono<Void> release(RequestKey key, String claimId) {
+    synchronized (this) {
+      running.remove(claimId);
+    }
+    metrics.count("claims.released");
+    return appender.appendOutcome(new ClaimEvent.Released(key, claimId)).then();
   }
 
-  /** Appends what became of a claim. */
-  public Mono<Either<PlatformError, Long>> append(ClaimEvent event) {
-    return log.append(LogPort.CLAIM_STREAM, List.of(Json.write(event)));
+  /** Notes that nobody knows whether a dispatched request ran. */
+  public void leaveUnknown(String claimId) {
+    ended(claimId);
+    metrics.count("claims.left_unknown");
+    LogEvent.of("claim_outcome_unknown").with("claim", claimId).warn(LOGGER);
   }
 
-  /** Finds the entry of a request. */
-  public synchronized Optional<ClaimTable.Entry> entry(ClaimEvent.RequestKey key) {
-    return table.entry(key);
+  /** Finds the entry of a request, with an outcome that the log may not hold yet. */
+  public synchronized Optional<ClaimTable.Entry> entry(RequestKey key) {
+    return table.entry(key).map(this::withLocalOutcome);
+  }
+
+  /** Returns why this node cannot tell about claims, or empty if it can. */
+  public synchronized Optional<Refusal> unready(Instant now) {
+    return reader
+        .unready(now)
+        .map(
+            cause ->
+                Refusal.notRun(RefusalReason.CLAIMS_NOT_READ, cause.detail())
+                    .withRetryAfter(shorter(cause.retryAfter(), MAX_RETRY_AFTER)));
+  }
+
+  /** Returns what is known about the run of a request without a recorded outcome. */
+  public synchronized Progress progress(ClaimTable.Entry entry, Instant now) {
+    if (running.containsKey(entry.claimId())) {
+      return Progress.RUNS_HERE;
+    }
+    Duration age = Duration.between(Instant.ofEpochMilli(entry.atMillis()), now);
+    boolean mayRun = !entry.node().equals(node) && age.compareTo(limits.inProgress()) < 0;
+    return mayRun ? Progress.MAY_RUN_ELSEWHERE : Progress.UNKNOWN;
+  }
+
+  /** Returns all entries without an outcome, oldest first. */
+  public synchronized List<ClaimTable.Entry> withoutOutcome() {
+    return table.entries().stream()
+        .map(this::withLocalOutcome)
+        .filter(entry -> entry.outcome().isEmpty())
+        .toList();
   }
 
   /** Returns all entries, oldest first. */
   public synchronized List<ClaimTable.Entry> entries() {
-    return List.copyOf(table.entries());
+    return table.entries().stream().map(this::withLocalOutcome).toList();
+  }
+
+  /** Returns the time limits. */
+  ClaimLimits limits() {
+    return limits;
+  }
+
+  /** Appends an event once and reads the log up to its end; an error leaves both possible. */
+  Mono<Either<PlatformError, Long>> appendAndRead(ClaimEvent event) {
+    return appender
+        .appendOnce(event)
+        .flatMap(
+            answer ->
+                readToEnd().map(read -> read.isLeft() ? Either.left(read.getLeft()) : answer));
   }
 
   @Override
   public void close() {
     follower.close();
+    appender.close();
   }
 
-  private synchronized int unknownCount() {
-    return (int) table.entries().stream().filter(entry -> entry.outcome().isEmpty()).count();
+  private Optional<Either<Refusal, Claim>> decideLocally(RequestKey key, Instant now) {
+    Optional<Refusal> refusal = unready(now);
+    if (refusal.isPresent()) {
+      return refusal.map(Either::left);
+    }
+    Optional<ClaimTable.Entry> known = entry(key);
+    if (known.isPresent()) {
+      return Optional.of(
+          table.isRecognised(known.get())
+              ? Either.right(new Claim(known.get(), false, 0))
+              : Either.left(
+                  Refusal.unknown(
+                      RefusalReason.KEY_OUTSIDE_WINDOW, "the key was used too long ago to tell")));
+    }
+    if (!appender.hasRoom() || table.entries().size() >= MAX_ENTRIES) {
+      return Optional.of(
+          Either.left(
+              Refusal.notRun(RefusalReason.QUEUE_FULL, "too many claims wait or are kept")
+                  .withRetryAfter(MIN_RETRY_AFTER)));
+    }
+    return Optional.empty();
   }
 
-  private synchronized void fold(LogPort.Page page) {
-    for (LogPort.LogRecord record : page.records()) {
-      Json.read(record.value(), ClaimEvent.class)
-          .peek(event -> apply(record.offset(), event))
-          .peekLeft(fault -> unreadable(record.offset(), fault));
+  private ClaimTable.Entry withLocalOutcome(ClaimTable.Entry entry) {
+    Optional<ClaimTable.Outcome> local = running.getOrDefault(entry.claimId(), Optional.empty());
+    return entry.outcome().isPresent() ? entry : local.map(entry::withOutcome).orElse(entry);
+  }
+
+  private void appended(Pending mine, Either<PlatformError, Long> answer) {
+    noteLog(answer.isRight(), clock.instant());
+    if (answer.isRight()) {
+      fault.reach(ClaimStep.AFTER_CLAIM_APPEND);
+      return;
+    }
+    if (answer.getLeft() instanceof PlatformError.NotSent) {
+      giveUp(mine, false);
+      return;
+    }
+    metrics.count("claims.append_in_doubt");
+    synchronized (this) {
+      inDoubt.add(mine);
     }
-    long end = page.records().isEmpty() ? page.next() : page.records().getLast().offset() + 1;
-    isWindowRead |= end >= page.next();
+    readForward();
   }
 
-  private void apply(long offset, ClaimEvent event) {
-    table.apply(offset, event);
-    Sinks.One<ClaimTable.Entry> waiter = waiting.get(event.claimId());
-    if (waiter != null && event instanceof ClaimEvent.Claimed) {
-      table.entry(event.key()).ifPresent(waiter::tryEmitValue);
+  private void readForward() {
+    List<Pending> group;
+    synchronized (this) {
+      if (isReadingForward || inDoubt.isEmpty()) {
+        return;
+      }
+      isReadingForward = true;
+      group = inDoubt;
+      inDoubt = new ArrayList<>();
+    }
+    readToEnd()
+        .subscribe(
+            read -> {
+              group.forEach(claim -> giveUp(claim, true));
+              synchronized (this) {
+                isReadingForward = false;
+              }
+              readForward();
+            });
+  }
+
+  private Mono<Either<PlatformError, Boolean>> readToEnd() {
+    return Mono.defer(
+            () -> log.read(LogPort.CLAIM_STREAM, nextOffset(), PAGE_RECORDS, Duration.ZERO))
+        .onErrorResume(error -> Mono.just(Either.left(new PlatformError.Lost(error.toString()))))
+        .flatMap(
+            answer -> {
+              if (answer.isLeft()) {
+                return Mono.just(Either.left(answer.getLeft()));
+              }
+              return readPage(answer.get()) ? Mono.just(Either.right(true)) : readToEnd();
+            });
+  }
+
+  private synchronized long nextOffset() {
+    return table.throughOffset() + 1;
+  }
+
+  private synchronized boolean readPage(LogPort.Page page) {
+    reader.read(page, clock.instant());
+    return reader.isAtEnd(page);
+  }
+
+  private void read(LogPort.Page page) {
+    noteLog(true, clock.instant());
+    readPage(page);
+  }
+
+  private synchronized void noteLog(boolean isUp, Instant now) {
+    logFailingSince = isUp ? Optional.empty() : logFailingSince.or(() -> Optional.of(now));
+  }
+
+  /** Gives a claim up unless it was decided before. */
+  private void giveUp(Pending mine, boolean mayBeInLog) {
+    Duration retryAfter;
+    synchronized (this) {
+      if (pending.remove(mine.claimId()) == null) {
+        return;
+      }
+      if (mayBeInLog) {
+        rememberGivenUp(mine);
+      }
+      retryAfter = retryAfter(clock.instant());
     }
+    metrics.count("claims.given_up");
+    mine.result()
+        .tryEmitValue(
+            Either.left(
+                Refusal.notRun(RefusalReason.LOG_UNAVAILABLE, "the log did not take the claim")
+                    .withRetryAfter(retryAfter)));
   }
 
-  private void unreadable(long offset, String fault) {
-    metrics.count("claims.unreadable_records");
-    LogEvent.of("claim_record_unreadable").with("offset", offset).with("fault", fault).warn(LOGGER);
+  private Mono<Either<Refusal, Claim>> timedOut(Pending mine) {
+    boolean wasSent = !appender.withdraw(mine.claimId());
+    giveUp(mine, wasSent);
+    // If the claim was decided in this very moment, the sink holds that decision.
+    return mine.result().asMono();
+  }
+
+  private void rememberGivenUp(Pending mine) {
+    if (givenUp.size() >= MAX_GIVEN_UP) {
+      givenUp.remove(givenUp.keySet().iterator().next());
+      metrics.count("claims.given_up_forgotten");
+    }
+    givenUp.put(mine.claimId(), mine.key());
   }
 
-  private static <T> Mono<Either<Refusal, T>> refuse(RefusalReason reason, String detail) {
-    return Mono.just(Either.left(Refusal.notRun(reason, detail)));
+  private Duration retryAfter(Instant now) {
+    Duration failing =
+        logFailingSince.map(since -> Duration.between(since, now)).orElse(Duration.ZERO);
+    return shorter(MAX_RETRY_AFTER, MIN_RETRY_AFTER.plus(failing));
+  }
+
+  /** Called by the reader, under this object's lock, once an event is folded. */
+  private void folded(ClaimEvent event) {
+    if (!(event instanceof ClaimEvent.Claimed claimed)) {
+      return;
+    }
+    ClaimTable.Entry entry = table.entry(claimed.key()).orElseThrow();
+    boolean isWon = entry.claimId().equals(claimed.claimId());
+    if (givenUp.remove(claimed.claimId()) != null && isWon) {
+      release(claimed.key(), claimed.claimId()).subscribe();
+    }
+    Optional.ofNullable(pending.remove(claimed.claimId()))
+        .ifPresent(mine -> decide(mine, entry, isWon));
+  }
+
+  private void decide(Pending mine, ClaimTable.Entry entry, boolean isWon) {
+    if (isWon) {
+      running.put(mine.claimId(), Optional.empty());
+    }
+    metrics.count(isWon ? "claims.won" : "claims.lost");
+    Claim claim = new Claim(entry, isWon, mine.startNanos());
+    // The rest of the request must not run under the lock of the table.
+    reactor.core.scheduler.Schedulers.parallel()
+        .schedule(() -> mine.result().tryEmitValue(Either.right(claim)));
+  }
+
+  private synchronized void ended(String claimId) {
+    running.remove(claimId);
+  }
+
+  private synchronized int entryCount() {
+    return table.entries().size();
+  }
+
+  private synchronized long forgottenUnknown() {
+    return table.forgottenUnknown();
+  }
+
+  private synchronized int unknownCount() {
+    Instant now = clock.instant();
+    return (int)
+        withoutOutcome().stream().filter(entry -> progress(entry, now) == Progress.UNKNOWN).count();
+  }
+
+  private static Duration shorter(Duration one, Duration other) {
+    return one.compareTo(other) <= 0 ? one : other;
+  }
+
+  /** What is known about the run of a request without a recorded outcome. */
+  public enum Progress {
+    /** This node runs it. */
+    RUNS_HERE,
+    /** Another node claimed it so short a time ago that it may still run. */
+    MAY_RUN_ELSEWHERE,
+    /** Nobody runs it any more, and its outcome is not known. */
+    UNKNOWN
   }
 
   /**
@@ -144,6 +429,10 @@
    *
    * @param entry the live claim on the request
    * @param isWon whether it was made by this call
+   * @param startNanos reading of the monotonic clock when this call began
    */
-  public record Claim(ClaimTable.Entry entry, boolean isWon) {}
+  public record Claim(ClaimTable.Entry entry, boolean isWon, long startNanos) {}
+
+  private record Pending(
+      RequestKey key, String claimId, long startNanos, Sinks.One<Either<Refusal, Claim>> result) {}
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimFilter.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimFilter.java
@@ -1,25 +1,40 @@
 package org.dragonflyhill.daemon;
 
 import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import org.dragonflyhill.core.ClaimEvent;
-import org.dragonflyhill.core.ClaimTable;
-import org.dragonflyhill.core.Execution;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
 import org.dragonflyhill.platform.Json;
 import reactor.core.publisher.Mono;
 
-/** Lets a non-repeatable request through at most once. Thread-safe; nothing is null. */
+/**
+ * Lets a non-repeatable request through at most once.
+ *
+ * <p>The run does not depend on the caller: one that goes away, or whose deadline passes, leaves a
+ * run whose outcome is recorded all the same. Thread-safe; nothing is null.
+ */
 public final class ClaimFilter implements RequestFilter {
 
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
   private final ClaimController claims;
+  private final ClaimRunner runner;
   private final InstantSource clock;
 
-  /** Creates a filter. */
-  public ClaimFilter(ClaimController claims, InstantSource clock) {
+  /**
+   * Creates a filter.
+   *
+   * @param claims decides who runs a request
+   * @param runner runs what was claimed
+   * @param clock gives the present time
+   */
+  ClaimFilter(ClaimController claims, ClaimRunner runner, InstantSource clock) {
     this.claims = claims;
+    this.runner = runner;
     this.clock = clock;
   }
 
@@ -31,16 +46,38 @@
     if (context.requiredTreatment().isRepeatable()) {
       return next.handle(context);
     }
-    Optional<String> key = context.headers().idempotencyKey();
-    if (key.isEmpty()) {
-      return problem(
+    Optional<Refusal> refusal = unacceptable(context);
+    if (refusal.isPresent()) {
+      return problem(refusal.get());
+    }
+    Mono<Reply> run = claimAndRun(context, next).cache();
+    run.subscribe();
+    return run.timeout(timeLeft(context), Mono.fromSupplier(ClaimFilter::late));
+  }
+
+  private static Optional<Refusal> unacceptable(RequestContext context) {
+    if (context.headers().idempotencyKey().isEmpty()) {
+      return Optional.of(
           Refusal.notRun(
               RefusalReason.KEY_MISSING, "this operation needs an Idempotency-Key header"));
     }
-    var requestKey = new ClaimEvent.RequestKey(context.requiredOrganisation().name(), key.get());
+    if (context.call() instanceof Call.Completion completion && completion.isStreamed()) {
+      return Optional.of(
+          Refusal.notRun(
+              RefusalReason.BAD_REQUEST, "stream: true, expected false as it may not repeat"));
+    }
+    return Optional.empty();
+  }
+
+  private Mono<Reply> claimAndRun(RequestContext context, Handler next) {
+    var key =
+        new ClaimEvent.RequestKey(
+            context.requiredOrganisation().name(),
+            context.headers().idempotencyKey().orElseThrow());
     String digest = AuthenticationFilter.sha256(Json.write(context.call()));
+    Instant deadline = context.requiredTreatment().deadline();
     return claims
-        .claim(requestKey, digest, clock.instant())
+        .claim(key, digest, deadline, clock.instant())
         .flatMap(claimed -> claimed(context, next, digest, claimed));
   }
 
@@ -53,51 +90,43 @@
       return problem(claimed.getLeft());
     }
     ClaimController.Claim claim = claimed.get();
-    if (!claim.isWon()) {
-      return Mono.just(earlier(claim.entry(), digest));
-    }
-    return next.handle(context).flatMap(reply -> settle(claim.entry(), reply));
+    return claim.isWon()
+        ? runner.run(context, next, claim)
+        : Mono.just(ClaimReplies.earlier(claims, claim.entry(), digest, clock.instant()));
+  }
+
+  private Duration timeLeft(RequestContext context) {
+    Duration left = Duration.between(clock.instant(), context.requiredTreatment().deadline());
+    return left.isNegative() ? Duration.ZERO : left;
   }
 
-  private Mono<Reply> settle(ClaimTable.Entry entry, Reply reply) {
-    ClaimEvent event =
-        switch (reply) {
-          case Reply.Json json ->
-              new ClaimEvent.Settled(entry.key(), entry.claimId(), json.status(), json.body());
-          case Reply.Problem problem when problem.refusal().execution() == Execution.NO ->
-              new ClaimEvent.Released(entry.key(), entry.claimId());
-          case Reply.Problem problem -> null;
-          case Reply.Stream stream -> null;
-        };
-    return event == null ? Mono.just(reply) : claims.append(event).thenReturn(reply);
+  private static Reply late() {
+    return new Reply.Problem(
+        Refusal.unknown(RefusalReason.DEADLINE_PASSED, "no answer yet; ask for the outcome by key")
+            .withRetryAfter(RETRY_AFTER));
   }
 
   private Reply outcome(RequestContext context, Call.OutcomeQuery query) {
     var key =
         new ClaimEvent.RequestKey(context.requiredOrganisation().name(), query.idempotencyKey());
+    Instant now = clock.instant();
     return claims
         .entry(key)
-        .map(entry -> earlier(entry, entry.requestDigest()))
-        .orElseGet(
-            () -> new Reply.Problem(Refusal.notRun(RefusalReason.NOT_FOUND, "no such request")));
+        .map(entry -> ClaimReplies.earlier(claims, entry, entry.requestDigest(), now))
+        .orElseGet(() -> new Reply.Problem(absent(now)));
   }
 
-  private static Reply earlier(ClaimTable.Entry entry, String digest) {
-    if (!entry.requestDigest().equals(digest)) {
-      return new Reply.Problem(
-          Refusal.notRun(RefusalReason.KEY_REUSED, "the key was used before with another request"));
-    }
-    if (entry.outcome().isEmpty()) {
-      return new Reply.Problem(
-          Refusal.unknown(
-              RefusalReason.OUTCOME_UNKNOWN, "an earlier copy was claimed, with no outcome yet"));
-    }
-    return switch (entry.outcome().get()) {
-      case ClaimTable.Outcome.Ran ran -> new Reply.Json(ran.status(), ran.answer());
-      case ClaimTable.Outcome.ResolvedAsRun resolved ->
-          new Reply.Problem(
-              Refusal.ran(RefusalReason.OUTCOME_UNKNOWN, "it was run; its answer was not kept"));
-    };
+  // A claim may be on its way through another node, so that absence here proves nothing.
+  private Refusal absent(Instant now) {
+    return claims
+        .unready(now)
+        .map(ClaimFilter::asUnknown)
+        .orElseGet(() -> Refusal.unknown(RefusalReason.NOT_FOUND, "no such request is known here"));
+  }
+
+  private static Refusal asUnknown(Refusal unready) {
+    Refusal unknown = Refusal.unknown(unready.reason(), unready.detail());
+    return unready.retryAfter().map(unknown::withRetryAfter).orElse(unknown);
   }
 
   private static Mono<Reply> problem(Refusal refusal) {
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimReader.java
@@ -0,0 +1,125 @@
+package org.dragonflyhill.daemon;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.ClaimEvent;
+import org.dragonflyhill.core.ClaimTable;
+import org.dragonflyhill.core.ClaimWindow;
+import org.dragonflyhill.platform.ClaimRecord;
+import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.platform.LogPort;
+
+/**
+ * Folds pages of the claim stream into a table and knows whether the table holds the whole window.
+ *
+ * <p>Not thread-safe; its owner guards it. No argument may be null.
+ */
+final class ClaimReader {
+
+  private static final Logger LOGGER = LogManager.getLogger(ClaimReader.class);
+  private static final int COVERAGE_SAMPLE = 16;
+
+  private final ClaimWindow window;
+  private final ClaimTable table;
+  private final NodeMetrics metrics;
+  private final Consumer<ClaimEvent> folded;
+  private boolean isEndRead;
+  private boolean isNewerFormSeen;
+  private Optional<Instant> coveredFrom = Optional.empty();
+
+  /** Creates a reader that hands each event on once it is folded. */
+  ClaimReader(
+      ClaimWindow window, ClaimTable table, NodeMetrics metrics, Consumer<ClaimEvent> folded) {
+    this.window = window;
+    this.table = table;
+    this.metrics = metrics;
+    this.folded = folded;
+  }
+
+  /** Folds the records of a page that were not folded before. */
+  void read(LogPort.Page page, Instant now) {
+    if (page.earliest() > table.throughOffset() + 1) {
+      coveredFrom = Optional.of(firstTime(page).orElse(now));
+      table.skip(page.earliest() - 1);
+      metrics.count("claims.expired_unread");
+    }
+    for (LogPort.LogRecord record : page.records()) {
+      if (record.offset() > table.throughOffset()) {
+        fold(record);
+      }
+    }
+    isEndRead |= table.throughOffset() + 1 >= page.next();
+  }
+
+  /** Returns whether the end of the stream was reached by a page that ended there. */
+  boolean isAtEnd(LogPort.Page page) {
+    return table.throughOffset() + 1 >= page.next() || page.records().isEmpty();
+  }
+
+  /** Returns why this node cannot decide about claims now, or empty if it can. */
+  Optional<Unready> unready(Instant now) {
+    if (!isEndRead) {
+      return unready("this node has not read all claims yet", Duration.ofSeconds(1));
+    }
+    if (isNewerFormSeen) {
+      return unready("a newer program writes claims that this one cannot read", window.grace());
+    }
+    Optional<Instant> coveredAt = coveredFrom.map(from -> from.plus(window.total()));
+    return coveredAt
+        .filter(now::isBefore)
+        .flatMap(at -> unready("the log lost claims of the window", Duration.between(now, at)));
+  }
+
+  private static Optional<Unready> unready(String detail, Duration retryAfter) {
+    return Optional.of(new Unready(detail, retryAfter));
+  }
+
+  private void fold(LogPort.LogRecord record) {
+    ClaimRecord.read(record.value())
+        .peek(event -> fold(record.offset(), event))
+        .peekLeft(fault -> skip(record.offset(), fault));
+  }
+
+  private void fold(long offset, ClaimEvent event) {
+    table.apply(offset, event);
+    folded.accept(event);
+  }
+
+  private void skip(long offset, ClaimRecord.Unreadable fault) {
+    isNewerFormSeen |= fault.isNewer();
+    table.skip(offset);
+    metrics.count("claims.unreadable_records");
+    LogEvent.of("claim_record_unreadable")
+        .with("offset", offset)
+        .with("newer", fault.isNewer())
+        .warn(LOGGER);
+  }
+
+  // A clock that ran slow must not make the stream look older than it is, so the latest of a few
+  // records counts.
+  private static Optional<Instant> firstTime(LogPort.Page page) {
+    List<ClaimEvent> events =
+        page.records().stream()
+            .flatMap(record -> ClaimRecord.read(record.value()).toJavaStream())
+            .toList();
+    return events.stream()
+        .filter(ClaimEvent.Claimed.class::isInstance)
+        .map(event -> ((ClaimEvent.Claimed) event).atMillis())
+        .limit(COVERAGE_SAMPLE)
+        .max(Long::compare)
+        .map(Instant::ofEpochMilli);
+  }
+
+  /**
+   * Why this node cannot decide about claims.
+   *
+   * @param detail one sentence for people
+   * @param retryAfter when it may be able to
+   */
+  record Unready(String detail, Duration retryAfter) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimReplies.java
@@ -0,0 +1,66 @@
+package org.dragonflyhill.daemon;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.dragonflyhill.core.ClaimTable;
+import org.dragonflyhill.core.Refusal;
+import org.dragonflyhill.core.RefusalReason;
+
+/** What a copy of a claimed request is told. Stateless and thread-safe; no argument may be null. */
+final class ClaimReplies {
+
+  private static final Duration SOON = Duration.ofSeconds(1);
+  private static final Duration LATER = Duration.ofSeconds(30);
+
+  private ClaimReplies() {}
+
+  /**
+   * Returns the reply to a copy.
+   *
+   * @param claims knows what still runs
+   * @param entry the live claim
+   * @param digest digest of the copy
+   * @param now present time
+   */
+  static Reply earlier(ClaimController claims, ClaimTable.Entry entry, String digest, Instant now) {
+    if (!entry.requestDigest().equals(digest)) {
+      return problem(
+          Refusal.notRun(RefusalReason.KEY_REUSED, "the key was used before with another request"));
+    }
+    return entry
+        .outcome()
+        .map(ClaimReplies::known)
+        .orElseGet(() -> problem(open(claims.progress(entry, now))));
+  }
+
+  private static Reply known(ClaimTable.Outcome outcome) {
+    return switch (outcome) {
+      case ClaimTable.Outcome.Ran ran ->
+          ran.answer()
+              .map(answer -> (Reply) new Reply.Json(ran.status(), answer))
+              .orElseGet(() -> problem(answerNotKept("status " + ran.status())));
+      case ClaimTable.Outcome.ResolvedAsRun resolved ->
+          problem(answerNotKept("an operator found that it ran"));
+    };
+  }
+
+  private static Refusal open(ClaimController.Progress progress) {
+    return switch (progress) {
+      case RUNS_HERE, MAY_RUN_ELSEWHERE ->
+          Refusal.unknown(RefusalReason.IN_PROGRESS, "a copy of the request is running")
+              .withRetryAfter(SOON);
+      case UNKNOWN ->
+          Refusal.unknown(
+                  RefusalReason.OUTCOME_UNKNOWN, "a copy was claimed and its outcome is not known")
+              .withRetryAfter(LATER);
+    };
+  }
+
+  private static Refusal answerNotKept(String detail) {
+    return Refusal.ran(RefusalReason.ANSWER_NOT_KEPT, "it was run, " + detail);
+  }
+
+  private static Reply problem(Refusal refusal) {
+    return new Reply.Problem(refusal);
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -1,7 +1,10 @@
 package org.dragonflyhill.daemon;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
 import org.dragonflyhill.platform.SettingSpec;
 import org.dragonflyhill.platform.SettingValues;
 
@@ -24,6 +27,7 @@
  * @param bodyTimeout time limit of receiving a body
  * @param platformTimeout time limit of a call to the platform
  * @param balancerDelay how long a stopping node still accepts requests
+ * @param claimStepFault fault switch of tests
  */
 public record DaemonSettings(
     String node,
@@ -39,10 +43,12 @@
     int maxConnections,
     Duration bodyTimeout,
     Duration platformTimeout,
-    Duration balancerDelay) {
+    Duration balancerDelay,
+    ClaimStepFault claimStepFault) {
 
   private static final int MIN_SECRET_LENGTH = 16;
   private static final int MAX_PORT = 65_535;
+  private static final String NO_STEP = "none";
 
   /** The settings that exist. */
   public static final List<SettingSpec> SPECS =
@@ -67,7 +73,15 @@
           SettingSpec.optional(
               "balancer-delay-millis",
               "3000",
-              "time for which a stopping node still accepts requests, in milliseconds"));
+              "time for which a stopping node still accepts requests, in milliseconds"),
+          SettingSpec.optional(
+              "fail-at",
+              NO_STEP,
+              "fault switch for tests: step of a non-repeatable request at which it fails"),
+          SettingSpec.optional(
+              "fail-pause-millis",
+              "0",
+              "how long it is held at that step, in milliseconds, 0 to end the process"));
 
   /** Reads the settings; what is wrong is in {@link SettingValues#faults()} afterwards. */
   public static DaemonSettings from(SettingValues values) {
@@ -85,6 +99,21 @@
         values.integer("max-connections", 1, 1_000_000),
         values.millis("body-timeout-millis"),
         values.millis("platform-timeout-millis"),
-        values.millis("balancer-delay-millis"));
+        values.millis("balancer-delay-millis"),
+        claimStepFault(values));
+  }
+
+  private static ClaimStepFault claimStepFault(SettingValues values) {
+    int pause = values.integer("fail-pause-millis", 0, Integer.MAX_VALUE);
+    String name = values.text("fail-at");
+    Optional<ClaimStep> step = ClaimStep.named(name);
+    if (step.isEmpty() && !name.equals(NO_STEP)) {
+      String known =
+          Arrays.stream(ClaimStep.values())
+              .map(ClaimStep::settingName)
+              .collect(Collectors.joining(", "));
+      values.fault("fail-at", "expected " + NO_STEP + " or one of " + known);
+    }
+    return new ClaimStepFault(step, Duration.ofMillis(pause));
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.ClaimWindow;
 import org.dragonflyhill.core.PieceKeys;
 import org.dragonflyhill.platform.Closer;
 import org.dragonflyhill.platform.HttpCache;
@@ -48,6 +49,7 @@
     NodeMetrics metrics = new NodeMetrics();
     HttpCaller platformCaller =
         closer.add(new HttpCaller("platform", MAX_CONNECTIONS_PER_ENDPOINT, CONNECT_TIMEOUT));
+    HttpCaller serviceCaller = closer.add(HttpCaller.withoutPool(CONNECT_TIMEOUT));
     HttpCaller endpointCaller =
         closer.add(new HttpCaller("endpoints", MAX_CONNECTIONS_PER_ENDPOINT, CONNECT_TIMEOUT));
     LogPort log = new HttpLog(platformCaller, settings.logAddress(), settings.platformTimeout());
@@ -57,7 +59,16 @@
     var caches = new HttpCache(endpointCaller, settings.platformTimeout());
 
     var configuration = closer.add(new ConfigurationController(log, metrics));
-    var claims = closer.add(new ClaimController(log, settings.node(), metrics));
+    var claims =
+        closer.add(
+            new ClaimController(
+                log,
+                settings.node(),
+                ClaimWindow.DEFAULT,
+                ClaimLimits.DEFAULT,
+                settings.claimStepFault(),
+                metrics,
+                clock));
     var membership = closer.add(new MembershipController(hostList, metrics));
     var endpoints = closer.add(new EndpointController(configuration, membership, runners, clock));
     var cache = closer.add(new CacheController(configuration, caches, metrics));
@@ -71,21 +82,24 @@
             configuration, endpoints, placement, runners, new CompletionRelay(), clock);
     final var services =
         new ServiceHandler(
-            configuration, endpoints, new HttpService(endpointCaller, SERVICE_TIMEOUT), clock);
+            configuration, endpoints, new HttpService(serviceCaller, SERVICE_TIMEOUT), clock);
     configuration.start();
     claims.start();
     membership.start();
     endpoints.start();
     cache.start();
+    var claimRunner = new ClaimRunner(claims, settings.claimStepFault(), drain, clock);
     List<RequestFilter> filters =
         List.of(
             new AuthenticationFilter(configuration),
             new ClassificationFilter(configuration, clock),
             new AdmissionFilter(drain),
-            new ClaimFilter(claims, clock));
+            new ClaimFilter(claims, claimRunner, clock));
     var chain = RequestFilter.chain(filters, new Dispatcher(completions, services));
     frontend = closer.add(new HttpFrontend(settings, chain, metrics, drain, clock));
-    admin = closer.add(new AdminApi(settings, configuration, claims, drain));
+    admin =
+        closer.add(
+            new AdminApi(settings, configuration, new ClaimAdmin(claims, metrics, clock), drain));
     markStarted(configuration);
     LogEvent.of("node_started")
         .with("node", settings.node())
--- a/daemon/src/main/java/org/dragonflyhill/daemon/NodeMetrics.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/NodeMetrics.java
@@ -53,6 +53,11 @@
     registry.counter("retried." + reason.toLowerCase(Locale.ROOT)).inc();
   }
 
+  /** Counts several retries at once. */
+  public void retried(String reason, long amount) {
+    registry.counter("retried." + reason.toLowerCase(Locale.ROOT)).inc(amount);
+  }
+
   /** Counts something else. */
   public void count(String name) {
     registry.counter(name).inc();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ServiceHandler.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ServiceHandler.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.daemon;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
@@ -15,6 +16,9 @@
 /** Calls plain services, each request at most once. Thread-safe; nothing is null. */
 public final class ServiceHandler {
 
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
   private final ConfigurationController configuration;
   private final EndpointController endpoints;
   private final ServicePort services;
@@ -42,31 +46,42 @@
     if (service.isEmpty()) {
       return Mono.just(
           new Reply.Problem(
-              Refusal.notRun(RefusalReason.NO_ENDPOINT, call.service() + " takes no requests")));
+              Refusal.notRun(RefusalReason.NO_ENDPOINT, call.service() + " takes no requests")
+                  .withRetryAfter(RETRY_AFTER)));
     }
     var request =
         new ServicePort.Call(
             context.requestId(),
             context.requiredOrganisation().name(),
             call.operation(),
+            context.headers().idempotencyKey(),
             call.body());
-    return services
-        .call(service.get().address(), request)
+    return Mono.deferContextual(
+            values ->
+                services.call(
+                    service.get().address(), request, DispatchPermit.of(values)::mayDispatch))
         .map(answer -> reply(service.get(), answer));
   }
 
   private Reply reply(Service service, Either<PlatformError, ServicePort.Answer> answer) {
-    if (answer.isRight()) {
+    boolean isUsable = answer.isRight() && answer.get().status() < FIRST_SERVER_ERROR;
+    if (isUsable) {
       endpoints.succeeded(service.name());
       return new Reply.Json(answer.get().status(), answer.get().body());
     }
-    PlatformError error = answer.getLeft();
     endpoints.failed(service.name(), clock.instant());
-    Refusal refusal =
-        error.isWithoutEffect()
-            ? Refusal.notRun(RefusalReason.ENDPOINT_FAILED, service.name() + " was not reached")
-            : Refusal.unknown(
-                RefusalReason.ENDPOINT_FAILED, service.name() + " gave no usable answer");
-    return new Reply.Problem(refusal);
+    boolean isUnsent = answer.isLeft() && answer.getLeft() instanceof PlatformError.NotSent;
+    return new Reply.Problem(isUnsent ? unreached(service) : unclear(service));
+  }
+
+  private static Refusal unreached(Service service) {
+    return Refusal.notRun(RefusalReason.ENDPOINT_FAILED, service.name() + " was not reached")
+        .withRetryAfter(RETRY_AFTER);
+  }
+
+  // An error status does not prove that nothing happened before the service gave up.
+  private static Refusal unclear(Service service) {
+    return Refusal.unknown(
+        RefusalReason.ENDPOINT_FAILED, service.name() + " gave no usable answer");
   }
 }
