Prove non-repeatable requests and "not run" over separate processes

Ruled out: a second execution; the service's records show one each.

Change: a claim that times out reads the log once more and answers as a copy where it finds one; reason claim_expired. The checker waits for outcomes that a node appends a moment after it answers (1 claim was listed neither way before).

--- a/core/src/main/java/org/dragonflyhill/core/RefusalReason.java
+++ b/core/src/main/java/org/dragonflyhill/core/RefusalReason.java
@@ -22,6 +22,8 @@
   KEY_MISSING(400),
   /** The idempotency key lies outside the window in which keys are recognised. */
   KEY_OUTSIDE_WINDOW(409),
+  /** The node was held up between its claim and the dispatch, and gave the claim up. */
+  CLAIM_EXPIRED(503),
   /** A copy of the request is running. */
   IN_PROGRESS(409),
   /** The request was claimed, and its outcome is not known. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimController.java
@@ -120,8 +120,10 @@
     }
     var claimed = new ClaimEvent.Claimed(key, claimId, node, digest, now.toEpochMilli());
     appender.appendOnce(claimed).subscribe(answer -> appended(mine, answer));
-    Duration limit = shorter(limits.claim(), Duration.between(now, deadline).dividedBy(2));
-    return mine.result().asMono().timeout(limit, Mono.defer(() -> timedOut(mine)));
+    Duration left = Duration.between(now, deadline);
+    Duration limit = shorter(limits.claim(), left.dividedBy(2));
+    Duration lastRead = shorter(limits.lastRead(), left.dividedBy(4));
+    return mine.result().asMono().timeout(limit, Mono.defer(() -> timedOut(mine, lastRead)));
   }
 
   /**
@@ -328,7 +330,7 @@
 
   /** Gives a claim up unless it was decided before. */
   private void giveUp(Pending mine, boolean mayBeInLog) {
-    Duration retryAfter;
+    Either<Refusal, Claim> result;
     synchronized (this) {
       if (pending.remove(mine.claimId()) == null) {
         return;
@@ -336,20 +338,29 @@
       if (mayBeInLog) {
         rememberGivenUp(mine);
       }
-      retryAfter = retryAfter(clock.instant());
+      Optional<ClaimTable.Entry> copy = entry(mine.key());
+      result = copy.map(this::lost).orElseGet(() -> Either.left(logUnavailable(clock.instant())));
     }
     metrics.count("claims.given_up");
-    mine.result()
-        .tryEmitValue(
-            Either.left(
-                Refusal.notRun(RefusalReason.LOG_UNAVAILABLE, "the log did not take the claim")
-                    .withRetryAfter(retryAfter)));
+    mine.result().tryEmitValue(result);
   }
 
-  private Mono<Either<Refusal, Claim>> timedOut(Pending mine) {
+  private Either<Refusal, Claim> lost(ClaimTable.Entry entry) {
+    return Either.right(new Claim(entry, false, 0));
+  }
+
+  private Refusal logUnavailable(Instant now) {
+    return Refusal.notRun(RefusalReason.LOG_UNAVAILABLE, "the log did not take the claim")
+        .withRetryAfter(retryAfter(now));
+  }
+
+  // A node that was paused reads the log once more, as another may have run a copy meanwhile.
+  private Mono<Either<Refusal, Claim>> timedOut(Pending mine, Duration lastRead) {
     boolean wasSent = !appender.withdraw(mine.claimId());
-    giveUp(mine, wasSent);
-    // If the claim was decided in this very moment, the sink holds that decision.
+    readToEnd()
+        .map(Either::isRight)
+        .timeout(lastRead, Mono.just(false))
+        .subscribe(isRead -> giveUp(mine, wasSent));
     return mine.result().asMono();
   }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimRunner.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimRunner.java
@@ -111,7 +111,7 @@
   }
 
   private static Refusal tooLate() {
-    return Refusal.notRun(RefusalReason.DEADLINE_PASSED, "the claim grew too old to be dispatched")
+    return Refusal.notRun(RefusalReason.CLAIM_EXPIRED, "the claim grew too old to be dispatched")
         .withRetryAfter(RETRY_AFTER);
   }
 }
--- a/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
@@ -92,10 +92,15 @@
 
   /** Applies the inventory of this deployment with the command line. */
   ProcessHelper.Ended apply() {
+    return apply(inventory());
+  }
+
+  /** Applies an inventory with the command line. */
+  ProcessHelper.Ended apply(ObjectNode inventory) {
     try {
       Path file = Files.createTempFile("inventory-", ".json");
       file.toFile().deleteOnExit();
-      Files.writeString(file, inventory().toString());
+      Files.writeString(file, inventory.toString());
       return ProcessHelper.run(
           org.dragonflyhill.cli.Main.class,
           List.of("apply", file.toString(), "--log", log.address("port")));
@@ -231,6 +236,11 @@
     return body.lines().map(line -> Json.readTree(line).get()).toList();
   }
 
+  /** Returns the client, for calls that may get no answer. */
+  HttpClient client() {
+    return client;
+  }
+
   @Override
   public void close() {
     closer.close();
--- /dev/null
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/OrderChecker.java
@@ -0,0 +1,214 @@
+package org.dragonflyhill.proofs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Collectors;
+import org.awaitility.Awaitility;
+import org.awaitility.core.ConditionTimeoutException;
+import org.dragonflyhill.platform.Json;
+
+/**
+ * Sends orders and compares what callers were told with what the service and the log hold, without
+ * asking the system under test for either.
+ */
+final class OrderChecker {
+
+  static final String SERVICE = "dispatch";
+
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(40);
+  private static final Duration OUTCOME_TIMEOUT = Duration.ofSeconds(10);
+  private static final long DEADLINE_MILLIS = 30_000;
+
+  private final Deployment deployment;
+  private final ConcurrentLinkedQueue<Told> told = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Executed> executedElsewhere = new ConcurrentLinkedQueue<>();
+
+  OrderChecker(Deployment deployment) {
+    this.deployment = deployment;
+  }
+
+  /** Sends one copy of an order; a caller that gets no answer was told nothing. */
+  Told send(ProcessHelper node, String service, String order) {
+    HttpRequest request =
+        deployment
+            .request(node, "/v1/services/" + service + "/send", Deployment.GRANJA_KEY)
+            .timeout(CALL_TIMEOUT)
+            .header("Idempotency-Key", order)
+            .header("Dragonflyhill-Deadline-Millis", String.valueOf(DEADLINE_MILLIS))
+            .POST(HttpRequest.BodyPublishers.ofString("{\"order\":\"" + order + "\"}"))
+            .build();
+    Told answer = call(order, request);
+    told.add(answer);
+    return answer;
+  }
+
+  Told send(ProcessHelper node, String order) {
+    return send(node, SERVICE, order);
+  }
+
+  /** Sends copies until one is answered, as a caller that must not lose its order does. */
+  Told sendUntilAnswered(ProcessHelper node, String order) {
+    Told[] last = {send(node, order)};
+    Awaitility.await()
+        .atMost(Duration.ofSeconds(30))
+        .pollInterval(Duration.ofMillis(100))
+        .until(
+            () -> {
+              last[0] = last[0].status() == 200 ? last[0] : send(node, order);
+              return last[0].status() == 200;
+            });
+    return last[0];
+  }
+
+  /** Notes an execution that a test's own service made. */
+  void executed(String order, String requestId) {
+    executedElsewhere.add(new Executed(order, requestId, System.currentTimeMillis()));
+  }
+
+  int requests() {
+    return told.size();
+  }
+
+  long executions(String order) {
+    return executed().stream().filter(one -> one.order().equals(order)).count();
+  }
+
+  /** Returns all violations, as texts for people. */
+  List<String> violations(ProcessHelper survivor) {
+    List<String> violations = new ArrayList<>();
+    Map<String, List<Executed>> executed =
+        executed().stream().collect(Collectors.groupingBy(Executed::order));
+    executed.forEach(
+        (order, runs) -> {
+          if (runs.size() > 1) {
+            violations.add(order + " executed " + runs.size() + " times");
+          }
+        });
+    for (Told answer : told) {
+      untrue(answer, executed.getOrDefault(answer.order(), List.of())).ifPresent(violations::add);
+    }
+    violations.addAll(stillUnlisted(survivor));
+    return violations;
+  }
+
+  // A node that just answered appends the outcome a moment later.
+  private List<String> stillUnlisted(ProcessHelper survivor) {
+    try {
+      Awaitility.await().atMost(OUTCOME_TIMEOUT).until(() -> unlisted(survivor).isEmpty());
+      return List.of();
+    } catch (ConditionTimeoutException e) {
+      return unlisted(survivor);
+    }
+  }
+
+  private static Optional<String> untrue(Told answer, List<Executed> runs) {
+    boolean saysNo = answer.executed().equals("no");
+    boolean saysYes = answer.status() == 200 || answer.executed().equals("yes");
+    boolean ranBefore = runs.stream().anyMatch(run -> run.atMillis() < answer.atMillis());
+    boolean ranItself = runs.stream().anyMatch(run -> run.requestId().equals(answer.requestId()));
+    if (saysNo && (ranBefore || ranItself)) {
+      return Optional.of(answer + ", but it was executed");
+    }
+    if (saysYes && runs.isEmpty()) {
+      return Optional.of(answer + ", but it was not executed");
+    }
+    if (answer.reason().equals("deadline_passed")) {
+      return Optional.of(answer + ": held back until the deadline");
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the orders that the log holds without outcome and that a node does not list. */
+  private List<String> unlisted(ProcessHelper survivor) {
+    Set<String> open = openClaims();
+    JsonNode list =
+        Json.readTree(text(survivor.address("admin_port"), "/admin/requests?state=unknown")).get();
+    list.forEach(view -> open.remove(view.path("claim_id").asText()));
+    return open.stream().map(id -> "claim " + id + " has no outcome and is not listed").toList();
+  }
+
+  /** Returns the claims that won and have no outcome, by the log's own records. */
+  Set<String> openClaims() {
+    String path = "/streams/claims/records?from=0&limit=1000000&wait_millis=0";
+    JsonNode page = Json.readTree(text(deployment.log.address("port"), path)).get();
+    Map<String, String> live = new java.util.HashMap<>();
+    Set<String> ended = new HashSet<>();
+    for (JsonNode record : page.path("records")) {
+      JsonNode event = Json.readTree(record.path("value").asText()).get().path("event");
+      String key = event.path("key").toString();
+      String claim = event.path("claim_id").asText();
+      if (event.path("type").asText().equals("claimed")) {
+        live.putIfAbsent(key, claim);
+      } else if (event.path("type").asText().equals("settled")) {
+        ended.add(claim);
+      } else {
+        live.remove(key, claim);
+      }
+    }
+    Set<String> open = new HashSet<>(live.values());
+    open.removeAll(ended);
+    return open;
+  }
+
+  private List<Executed> executed() {
+    List<Executed> all = new ArrayList<>(executedElsewhere);
+    for (JsonNode record : deployment.records(deployment.service)) {
+      JsonNode body = Json.readTree(record.path("body").asText()).get();
+      all.add(
+          new Executed(
+              body.path("order").asText(),
+              record.path("request_id").asText(),
+              record.path("at_millis").asLong()));
+    }
+    return all;
+  }
+
+  private String text(String address, String path) {
+    return deployment
+        .send(HttpRequest.newBuilder(URI.create("http://" + address + path)).build())
+        .body();
+  }
+
+  private Told call(String order, HttpRequest request) {
+    try {
+      HttpResponse<String> answer =
+          deployment.client().send(request, HttpResponse.BodyHandlers.ofString());
+      JsonNode body = Json.readTree(answer.body()).get();
+      return new Told(
+          order,
+          answer.headers().firstValue("Dragonflyhill-Request-Id").orElse(""),
+          answer.statusCode(),
+          body.path("executed").asText(),
+          body.path("reason").asText(),
+          answer.headers().firstValue("Retry-After").isPresent(),
+          System.currentTimeMillis());
+    } catch (IOException e) {
+      return new Told(order, "", 0, "", "", false, System.currentTimeMillis());
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** What a caller was told. */
+  record Told(
+      String order,
+      String requestId,
+      int status,
+      String executed,
+      String reason,
+      boolean hasRetryAfter,
+      long atMillis) {}
+
+  private record Executed(String order, String requestId, long atMillis) {}
+}
--- a/standins/src/main/java/org/dragonflyhill/standins/ServiceStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/ServiceStandin.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.standins;
 
+import java.time.InstantSource;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import reactor.core.publisher.Mono;
@@ -13,10 +14,12 @@
 
   private final AtomicInteger executions = new AtomicInteger();
   private final Consumer<Object> recorder;
+  private final InstantSource clock;
 
   /** Creates a stand-in that hands each execution to a recorder. */
-  public ServiceStandin(Consumer<Object> recorder) {
+  public ServiceStandin(Consumer<Object> recorder, InstantSource clock) {
     this.recorder = recorder;
+    this.clock = clock;
   }
 
   @Override
@@ -27,7 +30,8 @@
             request.requestId(),
             request.organisation(),
             request.parts().getLast(),
-            request.text()));
+            request.text(),
+            clock.millis()));
     return Mono.just(StandinReply.json(new Done(request.parts().getLast(), number)));
   }
 
@@ -38,8 +42,10 @@
    * @param organisation who asked
    * @param operation name of the operation
    * @param body JSON body
+   * @param atMillis when it was executed, milliseconds since the epoch
    */
-  public record Executed(String requestId, String organisation, String operation, String body) {}
+  public record Executed(
+      String requestId, String organisation, String operation, String body, long atMillis) {}
 
   /**
    * Answer of the service.
--- a/standins/src/main/java/org/dragonflyhill/standins/Standins.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Standins.java
@@ -36,7 +36,7 @@
   /** Starts a plain service. */
   public StandinServer service(int port, int adminPort) {
     AtomicReference<StandinServer> server = new AtomicReference<>();
-    var service = new ServiceStandin(value -> server.get().record(value));
+    var service = new ServiceStandin(value -> server.get().record(value), clock);
     server.set(new StandinServer(host, port, adminPort, service));
     return server.get();
   }
