--- a/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -1,7 +1,10 @@
 package org.dragonflyhill.daemon;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
 import org.dragonflyhill.core.SnapshotPolicy;
 import org.dragonflyhill.platform.SettingSpec;
 import org.dragonflyhill.platform.SettingValues;
@@ -26,6 +29,7 @@
  * @param platformTimeout time limit of a call to the platform
  * @param balancerDelay how long a stopping node still accepts requests
  * @param snapshotAge age of the configuration's last snapshot at which the next one is due
+ * @param claimStepFault fault switch of tests
  */
 public record DaemonSettings(
     String node,
@@ -42,10 +46,12 @@
     Duration bodyTimeout,
     Duration platformTimeout,
     Duration balancerDelay,
-    Duration snapshotAge) {
+    Duration snapshotAge,
+    ClaimStepFault claimStepFault) {
 
   private static final int MIN_SECRET_LENGTH = 16;
   private static final int MAX_PORT = 65_535;
+  private static final String NO_STEP = "none";
 
   /** The settings that exist. */
   public static final List<SettingSpec> SPECS =
@@ -75,7 +81,15 @@
               "snapshot-age-millis",
               "1800000",
               "age at which a snapshot of the configuration is renewed, well below the log's"
-                  + " retention, in milliseconds"));
+                  + " retention, in milliseconds"),
+          SettingSpec.optional(
+              "fail-at",
+              NO_STEP,
+              "fault switch for tests: step of a non-repeatable request at which it fails"),
+          SettingSpec.optional(
+              "fail-pause-millis",
+              "0",
+              "how long it is held at that step, in milliseconds, 0 to end the process"));
 
   /** Reads the settings; what is wrong is in {@link SettingValues#faults()} afterwards. */
   public static DaemonSettings from(SettingValues values) {
@@ -94,11 +108,26 @@
         values.millis("body-timeout-millis"),
         values.millis("platform-timeout-millis"),
         values.millis("balancer-delay-millis"),
-        values.millis("snapshot-age-millis"));
+        values.millis("snapshot-age-millis"),
+        claimStepFault(values));
   }
 
   /** Returns when this node appends snapshots of the configuration. */
   public SnapshotPolicy snapshotPolicy() {
     return SnapshotPolicy.DEFAULT.withMaxAge(snapshotAge);
   }
+
+  private static ClaimStepFault claimStepFault(SettingValues values) {
+    int pause = values.integer("fail-pause-millis", 0, Integer.MAX_VALUE);
+    String name = values.text("fail-at");
+    Optional<ClaimStep> step = ClaimStep.named(name);
+    if (step.isEmpty() && !name.equals(NO_STEP)) {
+      String known =
+          Arrays.stream(ClaimStep.values())
+              .map(ClaimStep::settingName)
+              .collect(Collectors.joining(", "));
+      values.fault("fail-at", "expected " + NO_STEP + " or one of " + known);
+    }
+    return new ClaimStepFault(step, Duration.ofMillis(pause));
+  }
 }
--- a/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
@@ -272,6 +272,11 @@
     return values;
   }
 
+  /** Returns the client, for calls that may get no answer. */
+  HttpClient client() {
+    return client;
+  }
+
   @Override
   public void close() {
     closer.close();
