--- a/core/src/main/java/org/dragonflyhill/core/PieceIndex.java
+++ b/core/src/main/java/org/dragonflyhill/core/PieceIndex.java
@@ -1,44 +1,56 @@
 package org.dragonflyhill.core;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Knows which endpoint probably holds which piece of KV cache.
  *
- * <p>The index is soft state: an entry that is wrong or missing costs time, never correctness.
+ * <p>The index is soft state: an entry that is wrong or missing costs time, never correctness. So
+ * it keeps a 64-bit fingerprint of each piece's id and no more.
  *
  * <pre>{@code
  * index.add("runner-1", piece.id());
- * int reusable = index.prefixPieces("runner-1", pieces);
+ * int reusable = index.prefixPieces("runner-1", PieceIndex.fingerprints(pieces));
  * }</pre>
  *
  * <p>Not thread-safe; its owner guards it. No argument may be null.
  */
 public final class PieceIndex {
 
-  private final Map<String, Set<String>> piecesByHolder = new HashMap<>();
+  private final Map<String, FingerprintSet> piecesByHolder = new HashMap<>();
+
+  /** Returns the fingerprint of a piece's id. */
+  public static long fingerprint(String pieceId) {
+    return Hashing.komihash5_0().hashCharsToLong(pieceId);
+  }
+
+  /** Returns the fingerprints of a prompt's pieces, in order. */
+  public static long[] fingerprints(List<PieceKeys.Piece> pieces) {
+    return pieces.stream().mapToLong(piece -> fingerprint(piece.id())).toArray();
+  }
 
   /** Notes that a holder has a piece. */
   public void add(String holder, String pieceId) {
-    piecesByHolder.computeIfAbsent(holder, name -> new HashSet<>()).add(pieceId);
+    piecesByHolder.computeIfAbsent(holder, name -> new FingerprintSet()).add(fingerprint(pieceId));
   }
 
   /** Notes that a holder no longer has a piece. */
   public void remove(String holder, String pieceId) {
-    Set<String> pieces = piecesByHolder.get(holder);
+    FingerprintSet pieces = piecesByHolder.get(holder);
     if (pieces != null) {
-      pieces.remove(pieceId);
+      pieces.remove(fingerprint(pieceId));
     }
   }
 
   /** Replaces all that is known of a holder, after a gap in its events. */
   public void replace(String holder, Collection<String> pieceIds) {
-    piecesByHolder.put(holder, new HashSet<>(pieceIds));
+    FingerprintSet pieces = new FingerprintSet();
+    pieceIds.forEach(id -> pieces.add(fingerprint(id)));
+    piecesByHolder.put(holder, pieces);
   }
 
   /** Forgets a holder. */
@@ -48,20 +60,30 @@
 
   /** Returns whether a holder probably has a piece. */
   public boolean holds(String holder, String pieceId) {
-    return piecesByHolder.getOrDefault(holder, Set.of()).contains(pieceId);
+    FingerprintSet held = piecesByHolder.get(holder);
+    return held != null && held.contains(fingerprint(pieceId));
   }
 
   /** Returns how many leading pieces of a prompt a holder probably has. */
-  public int prefixPieces(String holder, List<PieceKeys.Piece> pieces) {
+  public int prefixPieces(String holder, long[] fingerprints) {
+    FingerprintSet held = piecesByHolder.get(holder);
+    if (held == null) {
+      return 0;
+    }
     int count = 0;
-    while (count < pieces.size() && holds(holder, pieces.get(count).id())) {
+    while (count < fingerprints.length && held.contains(fingerprints[count])) {
       count++;
     }
     return count;
   }
 
+  /** Returns how many leading pieces of a prompt a holder probably has. */
+  public int prefixPieces(String holder, List<PieceKeys.Piece> pieces) {
+    return prefixPieces(holder, fingerprints(pieces));
+  }
+
   /** Returns the number of entries, over all holders. */
   public long size() {
-    return piecesByHolder.values().stream().mapToLong(Set::size).sum();
+    return piecesByHolder.values().stream().mapToLong(FingerprintSet::size).sum();
   }
 }
--- a/core/src/main/java/org/dragonflyhill/core/PieceKeys.java
+++ b/core/src/main/java/org/dragonflyhill/core/PieceKeys.java
@@ -33,6 +33,7 @@
   public static final int BYTES_PER_TOKEN = 4;
 
   private static final String ALGORITHM = "HmacSHA256";
+  private static final byte[] TAG_PREFIX = "organisation-tag".getBytes(StandardCharsets.UTF_8);
 
   private final byte[] secret;
   private final int pieceTokens;
@@ -75,6 +76,12 @@
     return pieces;
   }
 
+  /** Returns a keyed hash of an organisation, which tells a store nothing of its name. */
+  public String organisationTag(String organisation) {
+    byte[] name = organisation.getBytes(StandardCharsets.UTF_8);
+    return HexFormat.of().formatHex(hash(TAG_PREFIX, name));
+  }
+
   private byte[] hash(byte[] chain, byte[] part) {
     try {
       Mac mac = Mac.getInstance(ALGORITHM);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CacheController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CacheController.java
@@ -31,6 +31,7 @@
   private final NodeMetrics metrics;
   private final PieceIndex index = new PieceIndex();
   private final Map<String, Long> nextSequences = new HashMap<>();
+  private final Set<String> verifying = new HashSet<>();
   private Disposable polling = () -> {};
 
   /** Creates a controller that does not poll yet. */
@@ -51,9 +52,19 @@
             .subscribe();
   }
 
-  /** Returns how many leading pieces of a prompt a runner probably has. */
-  public synchronized int prefixPieces(String runner, List<PieceKeys.Piece> pieces) {
-    return index.prefixPieces(runner, pieces);
+  /**
+   * Returns how many leading pieces of a prompt a runner probably has.
+   *
+   * @param runner name of the runner
+   * @param fingerprints what {@link PieceIndex#fingerprints} gives for the prompt
+   */
+  public synchronized int prefixPieces(String runner, long[] fingerprints) {
+    return index.prefixPieces(runner, fingerprints);
+  }
+
+  /** Returns whether a runner says that it checks length and digest of what it imports. */
+  public synchronized boolean verifiesImports(String runner) {
+    return verifying.contains(runner);
   }
 
   /** Notes that a runner computed the pieces of a prompt. */
@@ -82,6 +93,7 @@
     runners.forEach(runner -> gone.remove(runner.name()));
     gone.forEach(nextSequences::remove);
     gone.forEach(index::forget);
+    verifying.removeAll(gone);
   }
 
   private Mono<Void> poll(ConfigurationObject.Runner runner) {
@@ -138,6 +150,15 @@
     if (answer.isRight()) {
       index.replace(runner, answer.get().pieceIds());
       nextSequences.put(runner, answer.get().nextSequence());
+      noteVerifying(runner, answer.get().verifiesImports());
+    }
+  }
+
+  private void noteVerifying(String runner, boolean verifiesImports) {
+    if (verifiesImports) {
+      verifying.add(runner);
+    } else {
+      verifying.remove(runner);
     }
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -24,6 +24,8 @@
  * @param bodyTimeout time limit of receiving a body
  * @param platformTimeout time limit of a call to the platform
  * @param balancerDelay how long a stopping node still accepts requests
+ * @param readLease longest time from the choice of a stored piece to the end of its read
+ * @param sweepInterval time between sweeps of a store
  */
 public record DaemonSettings(
     String node,
@@ -39,7 +41,9 @@
     int maxConnections,
     Duration bodyTimeout,
     Duration platformTimeout,
-    Duration balancerDelay) {
+    Duration balancerDelay,
+    Duration readLease,
+    Duration sweepInterval) {
 
   private static final int MIN_SECRET_LENGTH = 16;
   private static final int MAX_PORT = 65_535;
@@ -67,7 +71,12 @@
           SettingSpec.optional(
               "balancer-delay-millis",
               "3000",
-              "time for which a stopping node still accepts requests, in milliseconds"));
+              "time for which a stopping node still accepts requests, in milliseconds"),
+          SettingSpec.optional(
+              "read-lease-millis",
+              "30000",
+              "longest time from the choice of a stored piece to the end of its read"),
+          SettingSpec.optional("sweep-interval-millis", "30000", "time between sweeps of a store"));
 
   /** Reads the settings; what is wrong is in {@link SettingValues#faults()} afterwards. */
   public static DaemonSettings from(SettingValues values) {
@@ -85,6 +94,8 @@
         values.integer("max-connections", 1, 1_000_000),
         values.millis("body-timeout-millis"),
         values.millis("platform-timeout-millis"),
-        values.millis("balancer-delay-millis"));
+        values.millis("balancer-delay-millis"),
+        values.millis("read-lease-millis"),
+        values.millis("sweep-interval-millis"));
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ExportController.java
@@ -0,0 +1,280 @@
+package org.dragonflyhill.daemon;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.ConfigurationObject.Model;
+import org.dragonflyhill.core.ConfigurationObject.Runner;
+import org.dragonflyhill.core.ConfigurationObject.Store;
+import org.dragonflyhill.core.KeepPolicy;
+import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.core.PieceManifest;
+import org.dragonflyhill.core.RendezvousHash;
+import org.dragonflyhill.platform.CachePort;
+import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.platform.StorePort;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Copies pieces that are worth keeping from runners to stores, in the background.
+ *
+ * <p>Each attempt writes an object of its own name; only the runner's answer that the object is
+ * whole leads to a manifest. Of two nodes that export the same piece one lists it, and the other
+ * deletes its own object. Thread-safe; no argument may be null.
+ */
+public final class ExportController implements AutoCloseable {
+
+  /** Longest time from the start of an export to its manifest. */
+  public static final Duration EXPORT_TIMEOUT = Duration.ofSeconds(5);
+
+  private static final Logger LOGGER = LogManager.getLogger(ExportController.class);
+  private static final Duration START_INTERVAL = Duration.ofMillis(10);
+  private static final Duration MAX_WAIT = Duration.ofSeconds(30);
+  private static final int MAX_QUEUED = 1_000;
+  private static final int EXPORTS_AT_ONCE = 8;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+
+  private final StoreController index;
+  private final StoreSweepController sweeps;
+  private final CachePort caches;
+  private final StorePort stores;
+  private final LinkController links;
+  private final NodeMetrics metrics;
+  private final InstantSource clock;
+  private final KeepPolicy policy = new KeepPolicy();
+  private final Deque<Job> queue = new ArrayDeque<>();
+  private final Set<String> pending = new HashSet<>();
+  private Disposable running = () -> {};
+
+  /** Creates a controller that does not export yet. */
+  public ExportController(
+      StoreController index,
+      StoreSweepController sweeps,
+      CachePort caches,
+      StorePort stores,
+      LinkController links,
+      NodeMetrics metrics,
+      InstantSource clock) {
+    this.index = index;
+    this.sweeps = sweeps;
+    this.caches = caches;
+    this.stores = stores;
+    this.links = links;
+    this.metrics = metrics;
+    this.clock = clock;
+    metrics.gauge("export.queued", this::queued);
+  }
+
+  /** Starts to export. */
+  public synchronized void start() {
+    running =
+        Flux.interval(START_INTERVAL)
+            .onBackpressureDrop()
+            .flatMap(tick -> exportNext(), EXPORTS_AT_ONCE)
+            .subscribe();
+  }
+
+  /** Offers the pieces of a prompt that a runner has just computed or used. */
+  public synchronized void offer(Kept kept) {
+    Instant now = clock.instant();
+    for (int position = 0; position < kept.pieces().size(); position++) {
+      PieceKeys.Piece piece = kept.pieces().get(position);
+      policy.seen(kept.group(), piece.id(), now);
+      if (isWanted(kept, piece, now)) {
+        enqueue(new Job(kept, piece, position, now));
+      }
+    }
+  }
+
+  @Override
+  public synchronized void close() {
+    running.dispose();
+  }
+
+  private Mono<Void> exportNext() {
+    return Mono.justOrEmpty(next(clock.instant()))
+        .flatMap(this::export)
+        .onErrorResume(error -> unexpected("export_failed", error));
+  }
+
+  private static Mono<Void> unexpected(String event, Throwable error) {
+    LogEvent.of(event).with("error", error).warn(LOGGER);
+    return Mono.empty();
+  }
+
+  private synchronized int queued() {
+    return queue.size();
+  }
+
+  private boolean isWanted(Kept kept, PieceKeys.Piece piece, Instant now) {
+    if (pending.contains(piece.id()) || index.isStored(piece.id(), now)) {
+      return false;
+    }
+    var cost =
+        new KeepPolicy.Cost(
+            piece.tokens(),
+            piece.tokens() * kept.model().cacheBytesPerToken(),
+            kept.model().prefillTokensPerSecond(),
+            kept.runner().linkBytesPerSecond());
+    boolean isWorthIt = policy.isWorthKeeping(kept.group(), cost);
+    if (!isWorthIt) {
+      metrics.count("export.not_worth_it");
+    }
+    return isWorthIt;
+  }
+
+  private void enqueue(Job job) {
+    if (queue.size() >= MAX_QUEUED) {
+      metrics.count("export.queue_full");
+      return;
+    }
+    pending.add(job.piece.id());
+    queue.add(job);
+  }
+
+  /** Takes the first job whose links have room; drops those that waited too long. */
+  private synchronized Optional<Export> next(Instant now) {
+    Job job = queue.poll();
+    if (job == null) {
+      return Optional.empty();
+    }
+    Optional<Store> store = storeFor(job.piece.id(), now);
+    if (store.isEmpty() || job.offeredAt.plus(MAX_WAIT).isBefore(now)) {
+      metrics.count(store.isEmpty() ? "export.no_store" : "export.waited_too_long");
+      pending.remove(job.piece.id());
+      return Optional.empty();
+    }
+    long bytes = job.piece.tokens() * job.kept.model().cacheBytesPerToken();
+    if (!links.tryExport(job.kept.runner(), store.get(), bytes, now)) {
+      queue.add(job);
+      return Optional.empty();
+    }
+    String objectName = job.piece.id() + "-" + UUID.randomUUID();
+    return Optional.of(new Export(job, store.get(), objectName));
+  }
+
+  /** Every node ranks the stores of a piece alike, so that copies meet at one of them. */
+  private Optional<Store> storeFor(String pieceId, Instant now) {
+    Map<String, Store> usable =
+        index.usable(now).stream().collect(Collectors.toMap(Store::name, Function.identity()));
+    return RendezvousHash.rank(pieceId, usable.keySet()).stream().findFirst().map(usable::get);
+  }
+
+  private Mono<Void> export(Export export) {
+    var request =
+        new CachePort.ExportRequest(
+            export.job.piece.id(),
+            export.job.kept.model().weightVersion(),
+            export.store.address(),
+            export.objectName);
+    return caches
+        .export(export.job.kept.runner().address(), request, EXPORT_TIMEOUT)
+        .flatMap(answer -> answer.fold(error -> failed(export, error), done -> list(export, done)))
+        .doFinally(signal -> done(export));
+  }
+
+  private synchronized void done(Export export) {
+    pending.remove(export.job.piece.id());
+  }
+
+  private Mono<Void> failed(Export export, PlatformError error) {
+    boolean isEvicted =
+        error instanceof PlatformError.Refused refused && refused.status() == NOT_FOUND;
+    metrics.count(isEvicted ? "export.evicted" : "export.failed");
+    if (isEvicted || error.isWithoutEffect()) {
+      return Mono.empty();
+    }
+    // The write may still land after this; the sweep for objects without manifest finds it then.
+    sweeps.deleteAfterLease(export.store.name(), export.objectName);
+    return Mono.empty();
+  }
+
+  private Mono<Void> list(Export export, CachePort.Exported exported) {
+    PieceManifest manifest = export.manifest(exported);
+    return stores
+        .putManifest(export.store.address(), manifest)
+        .flatMap(answer -> settle(export, manifest, answer));
+  }
+
+  private Mono<Void> settle(
+      Export export, PieceManifest manifest, Either<PlatformError, Boolean> answer) {
+    if (answer.isRight()) {
+      return listed(export, manifest);
+    }
+    if (answer.getLeft() instanceof PlatformError.Refused refused && refused.status() == CONFLICT) {
+      metrics.count("export.already_listed");
+      // No manifest ever named this object, so nobody reads it.
+      return stores.delete(export.store.address(), export.objectName).then();
+    }
+    metrics.count("export.manifest_unanswered");
+    return stores
+        .find(export.store.address(), manifest.pieceId())
+        .flatMap(found -> afterLostAnswer(export, manifest, found));
+  }
+
+  private Mono<Void> afterLostAnswer(
+      Export export, PieceManifest manifest, Either<PlatformError, Optional<PieceManifest>> found) {
+    boolean isListed = found.isRight() && found.get().equals(Optional.of(manifest));
+    if (isListed) {
+      return listed(export, manifest);
+    }
+    sweeps.deleteAfterLease(export.store.name(), export.objectName);
+    return Mono.empty();
+  }
+
+  private Mono<Void> listed(Export export, PieceManifest manifest) {
+    metrics.count("export.listed");
+    index.listed(export.store.name(), manifest);
+    return Mono.empty();
+  }
+
+  /**
+   * Pieces that a runner holds, and whose they are.
+   *
+   * @param runner the runner
+   * @param model its model, with the weight version that computed the pieces
+   * @param group organisation and task, by which returns are learned
+   * @param organisationTag keyed hash of the organisation
+   * @param pieces full pieces of the prompt, in order
+   */
+  public record Kept(
+      Runner runner,
+      Model model,
+      String group,
+      String organisationTag,
+      List<PieceKeys.Piece> pieces) {}
+
+  private record Job(Kept kept, PieceKeys.Piece piece, int position, Instant offeredAt) {}
+
+  private record Export(Job job, Store store, String objectName) {
+
+    PieceManifest manifest(CachePort.Exported exported) {
+      return new PieceManifest(
+          job.piece.id(),
+          objectName,
+          exported.length(),
+          exported.sha256(),
+          job.kept.organisationTag(),
+          job.kept.model().weightVersion(),
+          job.piece.tokens(),
+          job.position);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/LinkController.java
@@ -0,0 +1,44 @@
+package org.dragonflyhill.daemon;
+
+import java.time.Instant;
+import java.util.List;
+import org.dragonflyhill.core.ConfigurationObject.Runner;
+import org.dragonflyhill.core.ConfigurationObject.Store;
+import org.dragonflyhill.core.LinkBudget;
+import org.dragonflyhill.core.LinkBudget.Link;
+
+/**
+ * Knows how busy this node makes the links of runners and stores.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class LinkController {
+
+  private final LinkBudget budget = new LinkBudget();
+
+  /** Returns the bandwidth that an import would see. */
+  public synchronized long bytesPerSecond(Runner runner, Store store, long bytes, Instant now) {
+    return Math.min(
+        budget.bytesPerSecond(link(runner), bytes, now),
+        budget.bytesPerSecond(link(store), bytes, now));
+  }
+
+  /** Notes an import. */
+  public synchronized void reserve(Runner runner, Store store, long bytes, Instant now) {
+    budget.reserve(link(runner), bytes, now);
+    budget.reserve(link(store), bytes, now);
+  }
+
+  /** Admits an export; returns whether it may start now. */
+  public synchronized boolean tryExport(Runner runner, Store store, long bytes, Instant now) {
+    return budget.tryExport(List.of(link(runner), link(store)), bytes, now);
+  }
+
+  private static Link link(Runner runner) {
+    return new Link(runner.name(), Math.max(1, runner.linkBytesPerSecond()));
+  }
+
+  private static Link link(Store store) {
+    return new Link(store.name(), Math.max(1, store.linkBytesPerSecond()));
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -14,6 +14,7 @@
 import org.dragonflyhill.platform.HttpLog;
 import org.dragonflyhill.platform.HttpRunner;
 import org.dragonflyhill.platform.HttpService;
+import org.dragonflyhill.platform.HttpStore;
 import org.dragonflyhill.platform.LogEvent;
 import org.dragonflyhill.platform.LogPort;
 import reactor.core.publisher.Flux;
@@ -65,7 +66,25 @@
     final var pieceKeys =
         new PieceKeys(
             settings.secret().getBytes(StandardCharsets.UTF_8), PieceKeys.DEFAULT_PIECE_TOKENS);
-    final var placement = new PlacementController(configuration, endpoints, cache, pieceKeys);
+    var stores = new HttpStore(endpointCaller, settings.platformTimeout());
+    final var storeIndex =
+        closer.add(new StoreController(configuration, endpoints, stores, metrics, clock));
+    final var sweeps =
+        closer.add(
+            new StoreSweepController(
+                settings.node(),
+                membership,
+                storeIndex,
+                stores,
+                metrics,
+                clock,
+                new StoreSweepController.Settings(settings.readLease(), settings.sweepInterval())));
+    final var links = new LinkController();
+    final var exports =
+        closer.add(new ExportController(storeIndex, sweeps, caches, stores, links, metrics, clock));
+    final var placement =
+        new PlacementController(
+            configuration, endpoints, cache, storeIndex, exports, links, metrics, pieceKeys);
     final var completions =
         new CompletionHandler(
             configuration, endpoints, placement, runners, new CompletionRelay(), clock);
@@ -77,6 +96,9 @@
     membership.start();
     endpoints.start();
     cache.start();
+    storeIndex.start();
+    sweeps.start();
+    exports.start();
     List<RequestFilter> filters =
         List.of(
             new AuthenticationFilter(configuration),
--- a/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
@@ -8,9 +8,12 @@
 import java.util.Set;
 import org.dragonflyhill.core.ConfigurationObject.Model;
 import org.dragonflyhill.core.ConfigurationObject.Runner;
-import org.dragonflyhill.core.ObjectKind;
+import org.dragonflyhill.core.ConfigurationObject.Store;
+import org.dragonflyhill.core.PieceIndex;
 import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.core.PieceManifest;
 import org.dragonflyhill.core.Placement;
+import org.dragonflyhill.core.StoreIndex;
 import org.dragonflyhill.platform.RunnerPort;
 
 /**
@@ -25,6 +28,10 @@
   private final ConfigurationController configuration;
   private final EndpointController endpoints;
   private final CacheController cache;
+  private final StoreController stores;
+  private final ExportController exports;
+  private final LinkController links;
+  private final NodeMetrics metrics;
   private final PieceKeys pieceKeys;
 
   /** Creates a controller. */
@@ -32,10 +39,18 @@
       ConfigurationController configuration,
       EndpointController endpoints,
       CacheController cache,
+      StoreController stores,
+      ExportController exports,
+      LinkController links,
+      NodeMetrics metrics,
       PieceKeys pieceKeys) {
     this.configuration = configuration;
     this.endpoints = endpoints;
     this.cache = cache;
+    this.stores = stores;
+    this.exports = exports;
+    this.links = links;
+    this.metrics = metrics;
     this.pieceKeys = pieceKeys;
   }
 
@@ -54,13 +69,13 @@
       Call.Completion call,
       Set<String> excluded,
       Instant now) {
-    List<PieceKeys.Piece> pieces = pieces(context, model, call);
-    List<Placement.Candidate> candidates = new ArrayList<>();
+    Prompt prompt = prompt(context, model, call, now);
+    List<Plan> plans = new ArrayList<>();
     for (Runner runner : configuration.state().all(Runner.class)) {
       if (runner.model().equals(model.name())
           && !excluded.contains(runner.name())
           && endpoints.isUsable(runner.name(), runner.administrativeState(), now)) {
-        candidates.add(candidate(model, runner, pieces));
+        plans.add(plan(prompt, runner));
       }
     }
     RequestContext.Treatment treatment = context.requiredTreatment();
@@ -71,14 +86,44 @@
             model.prefillTokensPerSecond(),
             model.cacheBytesPerToken());
     return new Placement(weights)
-        .choose(request, candidates)
-        .flatMap(choice -> placed(choice, pieces));
+        .choose(request, plans.stream().map(Plan::candidate).toList())
+        .flatMap(choice -> placed(prompt, choice, plans));
   }
 
-  private Placement.Candidate candidate(Model model, Runner runner, List<PieceKeys.Piece> pieces) {
-    long cached = (long) cache.prefixPieces(runner.name(), pieces) * PieceKeys.DEFAULT_PIECE_TOKENS;
-    return new Placement.Candidate(
-        runner.name(), queueWait(model, runner), LATENCY, cached, 0, runner.linkBytesPerSecond());
+  private Plan plan(Prompt prompt, Runner runner) {
+    int held = cache.prefixPieces(runner.name(), prompt.fingerprints);
+    List<StoreIndex.Found> importable = importable(prompt, runner, held);
+    var candidate =
+        new Placement.Candidate(
+            runner.name(),
+            queueWait(prompt.model, runner),
+            LATENCY,
+            tokens(held),
+            tokens(importable.size()),
+            linkBytesPerSecond(prompt, runner, importable));
+    return new Plan(runner, candidate, importable);
+  }
+
+  private List<StoreIndex.Found> importable(Prompt prompt, Runner runner, int held) {
+    if (!cache.verifiesImports(runner.name())) {
+      // Nothing would keep such an engine from using a damaged piece.
+      return List.of();
+    }
+    return stores.prefix(prompt.pieces, held, prompt.wanted, prompt.now);
+  }
+
+  private long linkBytesPerSecond(Prompt prompt, Runner runner, List<StoreIndex.Found> importable) {
+    long bytes = tokens(importable.size()) * prompt.model.cacheBytesPerToken();
+    return importable.stream()
+        .flatMap(found -> stores.find(found.store()).stream())
+        .distinct()
+        .mapToLong(store -> links.bytesPerSecond(runner, store, bytes, prompt.now))
+        .min()
+        .orElse(Math.max(1, runner.linkBytesPerSecond()));
+  }
+
+  private static long tokens(int pieces) {
+    return (long) pieces * PieceKeys.DEFAULT_PIECE_TOKENS;
   }
 
   private Duration queueWait(Model model, Runner runner) {
@@ -91,21 +136,88 @@
   /** Notes that a placed completion was served whole. */
   public void served(Placed placed) {
     cache.computed(placed.runner().name(), placed.pieces());
+    exports.offer(placed.kept());
   }
 
-  private List<PieceKeys.Piece> pieces(RequestContext context, Model model, Call.Completion call) {
-    var scope =
-        new PieceKeys.Scope(
-            context.requiredOrganisation().name(), model.name(), "", model.weightVersion());
-    return pieceKeys.pieces(scope, call.prompt());
+  /**
+   * Notes that a placed completion was served whole.
+   *
+   * @param placed its place
+   * @param importedTokens tokens that the runner says it imported
+   */
+  public void served(Placed placed, long importedTokens) {
+    served(placed);
+    int used = (int) (importedTokens / PieceKeys.DEFAULT_PIECE_TOKENS);
+    metrics.count("import.pieces", used);
+    if (used < placed.found().size()) {
+      stores.failed(placed.found().get(used));
+    }
   }
 
-  private Optional<Placed> placed(Placement.Choice choice, List<PieceKeys.Piece> pieces) {
-    return configuration
-        .find(ObjectKind.RUNNER, choice.runner(), Runner.class)
-        .map(runner -> new Placed(runner, pieces, List.of(), choice));
+  private Prompt prompt(RequestContext context, Model model, Call.Completion call, Instant now) {
+    String organisation = context.requiredOrganisation().name();
+    var scope = new PieceKeys.Scope(organisation, model.name(), "", model.weightVersion());
+    List<PieceKeys.Piece> pieces = pieceKeys.pieces(scope, call.prompt());
+    var wanted =
+        new StoreIndex.Wanted(pieceKeys.organisationTag(organisation), model.weightVersion());
+    String group = organisation + "/" + context.requiredTreatment().task();
+    return new Prompt(model, pieces, PieceIndex.fingerprints(pieces), wanted, group, now);
   }
 
+  private Optional<Placed> placed(Prompt prompt, Placement.Choice choice, List<Plan> plans) {
+    return plans.stream()
+        .filter(plan -> plan.runner.name().equals(choice.runner()))
+        .findFirst()
+        .map(plan -> placed(prompt, choice, plan));
+  }
+
+  private Placed placed(Prompt prompt, Placement.Choice choice, Plan plan) {
+    int count = (int) (choice.importTokens() / PieceKeys.DEFAULT_PIECE_TOKENS);
+    List<StoreIndex.Found> found = plan.importable.subList(0, count);
+    List<RunnerPort.PieceImport> imports = new ArrayList<>();
+    for (StoreIndex.Found piece : found) {
+      Optional<Store> store = stores.find(piece.store());
+      if (store.isEmpty()) {
+        break;
+      }
+      long bytes = tokens(1) * prompt.model.cacheBytesPerToken();
+      links.reserve(plan.runner, store.get(), bytes, prompt.now);
+      imports.add(pieceImport(store.get(), piece.manifest()));
+    }
+    stores.used(found, prompt.now);
+    metrics.count("import.requested", imports.size());
+    var kept =
+        new ExportController.Kept(
+            plan.runner,
+            prompt.model,
+            prompt.group,
+            prompt.wanted.organisationTag(),
+            prompt.pieces);
+    return new Placed(plan.runner, prompt.pieces, imports, choice, found, kept);
+  }
+
+  private static RunnerPort.PieceImport pieceImport(Store store, PieceManifest manifest) {
+    return new RunnerPort.PieceImport(
+        manifest.pieceId(),
+        store.address(),
+        manifest.objectName(),
+        manifest.length(),
+        manifest.sha256());
+  }
+
+  /** What is to be placed. */
+  private record Prompt(
+      Model model,
+      List<PieceKeys.Piece> pieces,
+      long[] fingerprints,
+      StoreIndex.Wanted wanted,
+      String group,
+      Instant now) {}
+
+  /** What one runner could do. */
+  private record Plan(
+      Runner runner, Placement.Candidate candidate, List<StoreIndex.Found> importable) {}
+
   /**
    * A completion's place.
    *
@@ -113,10 +225,14 @@
    * @param pieces full pieces of the prompt, in order
    * @param imports pieces that the runner should fetch first
    * @param choice estimate behind the decision
+   * @param found where the imports are stored
+   * @param kept what may be exported once it is served
    */
   public record Placed(
       Runner runner,
       List<PieceKeys.Piece> pieces,
       List<RunnerPort.PieceImport> imports,
-      Placement.Choice choice) {}
+      Placement.Choice choice,
+      List<StoreIndex.Found> found,
+      ExportController.Kept kept) {}
 }
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/StoreController.java
@@ -0,0 +1,260 @@
+package org.dragonflyhill.daemon;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.ConfigurationObject.Store;
+import org.dragonflyhill.core.ObjectKind;
+import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.core.PieceManifest;
+import org.dragonflyhill.core.StoreIndex;
+import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.platform.StorePort;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Keeps the index of stored pieces in step with the stores' manifests.
+ *
+ * <p>A store that does not answer, or leaves, drops out; once it answers again its manifests are
+ * read anew. Thread-safe; no argument may be null.
+ */
+public final class StoreController implements AutoCloseable {
+
+  private static final Logger LOGGER = LogManager.getLogger(StoreController.class);
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(250);
+  private static final Duration SUSPICION = Duration.ofMinutes(1);
+  private static final int POLLS_AT_ONCE = 32;
+  private static final int PAGE_SIZE = 1_000;
+  private static final int MAX_MANIFESTS = 50_000;
+  private static final int MAX_FAILED_POLLS = 2;
+
+  private final ConfigurationController configuration;
+  private final EndpointController endpoints;
+  private final StorePort stores;
+  private final NodeMetrics metrics;
+  private final InstantSource clock;
+  private final StoreIndex index = new StoreIndex(MAX_MANIFESTS, SUSPICION);
+  private final Map<String, Cursor> cursors = new HashMap<>();
+  private final Map<String, Integer> failedPolls = new HashMap<>();
+  private Disposable polling = () -> {};
+
+  /** Creates a controller that does not poll yet. */
+  public StoreController(
+      ConfigurationController configuration,
+      EndpointController endpoints,
+      StorePort stores,
+      NodeMetrics metrics,
+      InstantSource clock) {
+    this.configuration = configuration;
+    this.endpoints = endpoints;
+    this.stores = stores;
+    this.metrics = metrics;
+    this.clock = clock;
+    metrics.gauge("store.index_entries", this::size);
+  }
+
+  /** Starts to poll the stores. */
+  public synchronized void start() {
+    polling =
+        Flux.interval(Duration.ZERO, POLL_INTERVAL)
+            .onBackpressureDrop()
+            .concatMap(tick -> pollAll(), 1)
+            .subscribe();
+  }
+
+  /** Finds the stored pieces that continue a prompt behind its first {@code from} pieces. */
+  public synchronized List<StoreIndex.Found> prefix(
+      List<PieceKeys.Piece> pieces, int from, StoreIndex.Wanted wanted, Instant now) {
+    return index.prefix(pieces, from, wanted, store -> isUsable(store, now), now);
+  }
+
+  /** Returns whether a usable store lists a piece. */
+  public synchronized boolean isStored(String pieceId, Instant now) {
+    return usable(now).stream().anyMatch(store -> index.holds(store.name(), pieceId));
+  }
+
+  /** Returns the stores that may get new work. */
+  public List<Store> usable(Instant now) {
+    return configuration.state().all(Store.class).stream()
+        .filter(store -> isUsable(store.name(), now))
+        .toList();
+  }
+
+  /** Finds a store of the configuration. */
+  public Optional<Store> find(String store) {
+    return configuration.find(ObjectKind.STORE, store, Store.class);
+  }
+
+  /** Notes a manifest that this node wrote. */
+  public synchronized void listed(String store, PieceManifest manifest) {
+    index.put(store, manifest, clock.instant());
+  }
+
+  /** Notes that a piece was unlisted by this node. */
+  public synchronized void unlisted(String store, String pieceId) {
+    index.remove(store, pieceId);
+  }
+
+  /** Notes that a request goes to import pieces. */
+  public synchronized void used(List<StoreIndex.Found> pieces, Instant now) {
+    pieces.forEach(piece -> index.used(piece, now));
+  }
+
+  /** Notes that a piece was not imported although it was asked for. */
+  public synchronized void failed(StoreIndex.Found piece) {
+    metrics.count("import.failed");
+    index.failed(piece, clock.instant());
+  }
+
+  /** Returns manifests of a store in the order in which they should make room. */
+  public synchronized List<PieceManifest> evictionOrder(String store) {
+    return index.evictionOrder(store);
+  }
+
+  @Override
+  public synchronized void close() {
+    polling.dispose();
+  }
+
+  private synchronized int size() {
+    return index.size();
+  }
+
+  private boolean isUsable(String name, Instant now) {
+    return isAnswering(name)
+        && find(name)
+            .filter(store -> endpoints.isUsable(name, store.administrativeState(), now))
+            .isPresent();
+  }
+
+  private synchronized boolean isAnswering(String name) {
+    return cursors.containsKey(name);
+  }
+
+  private Mono<Void> pollAll() {
+    List<Store> listed = configuration.state().all(Store.class);
+    forgetOthers(listed);
+    return Flux.fromIterable(listed).flatMap(this::poll, POLLS_AT_ONCE).then();
+  }
+
+  private synchronized void forgetOthers(List<Store> listed) {
+    var names = listed.stream().map(Store::name).collect(Collectors.toSet());
+    List.copyOf(cursors.keySet()).stream()
+        .filter(name -> !names.contains(name))
+        .forEach(this::drop);
+  }
+
+  private synchronized void drop(String store) {
+    cursors.remove(store);
+    index.forget(store);
+  }
+
+  private Mono<Void> poll(Store store) {
+    Optional<Cursor> cursor = cursor(store);
+    Mono<Void> poll = cursor.isEmpty() ? resync(store) : changes(store, cursor.get());
+    return poll.onErrorResume(error -> unexpected(store, error));
+  }
+
+  private static Mono<Void> unexpected(Store store, Throwable error) {
+    LogEvent.of("store_poll_failed").with("store", store.name()).with("error", error).warn(LOGGER);
+    return Mono.empty();
+  }
+
+  private synchronized Optional<Cursor> cursor(Store store) {
+    return Optional.ofNullable(cursors.get(store.name()));
+  }
+
+  private Mono<Void> changes(Store store, Cursor cursor) {
+    return stores
+        .changes(store.address(), cursor.epoch, cursor.next, PAGE_SIZE)
+        .flatMap(
+            answer ->
+                answer.fold(error -> pollFailed(store, error), page -> apply(store, cursor, page)));
+  }
+
+  private Mono<Void> apply(Store store, Cursor cursor, StorePort.Changes page) {
+    if (!page.epoch().equals(cursor.epoch) || hasGap(cursor, page)) {
+      metrics.count("store.resyncs");
+      return resync(store);
+    }
+    synchronized (this) {
+      failedPolls.remove(store.name());
+      page.changes().forEach(change -> apply(store.name(), change));
+      cursors.put(store.name(), new Cursor(cursor.epoch, page.next()));
+    }
+    return Mono.empty();
+  }
+
+  private void apply(String store, StorePort.Change change) {
+    change
+        .manifest()
+        .ifPresentOrElse(
+            manifest -> index.put(store, manifest, clock.instant()),
+            () -> index.remove(store, change.pieceId()));
+  }
+
+  private static boolean hasGap(Cursor cursor, StorePort.Changes page) {
+    long expected = cursor.next;
+    for (StorePort.Change change : page.changes()) {
+      if (change.sequence() != expected) {
+        return true;
+      }
+      expected++;
+    }
+    return page.next() != expected || page.earliest() > cursor.next;
+  }
+
+  private Mono<Void> resync(Store store) {
+    return page(store, "")
+        .expand(
+            answer ->
+                answer.isRight() && !answer.get().isLast()
+                    ? page(store, answer.get().manifests().getLast().pieceId())
+                    : Mono.empty())
+        .collectList()
+        .flatMap(pages -> replace(store, pages));
+  }
+
+  private Mono<Either<PlatformError, StorePort.Listing>> page(Store store, String after) {
+    return stores.list(store.address(), after, PAGE_SIZE);
+  }
+
+  private Mono<Void> replace(Store store, List<Either<PlatformError, StorePort.Listing>> pages) {
+    if (pages.getLast().isLeft()) {
+      return pollFailed(store, pages.getLast().getLeft());
+    }
+    List<PieceManifest> manifests = new ArrayList<>();
+    pages.forEach(page -> manifests.addAll(page.get().manifests()));
+    // Changes between the pages are read again from the first page's number on.
+    StorePort.Listing first = pages.getFirst().get();
+    synchronized (this) {
+      failedPolls.remove(store.name());
+      index.replace(store.name(), manifests, clock.instant());
+      cursors.put(store.name(), new Cursor(first.epoch(), first.nextSequence()));
+    }
+    return Mono.empty();
+  }
+
+  private synchronized Mono<Void> pollFailed(Store store, PlatformError error) {
+    metrics.count("store.failed_polls");
+    int failed = failedPolls.merge(store.name(), 1, Integer::sum);
+    if (failed >= MAX_FAILED_POLLS || error instanceof PlatformError.NotSent) {
+      drop(store.name());
+    }
+    return Mono.empty();
+  }
+
+  private record Cursor(String epoch, long next) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/StoreSweepController.java
@@ -0,0 +1,303 @@
+package org.dragonflyhill.daemon;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.ConfigurationObject.Store;
+import org.dragonflyhill.core.PieceManifest;
+import org.dragonflyhill.core.RendezvousHash;
+import org.dragonflyhill.platform.HostListPort;
+import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.platform.StorePort;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Makes room in stores and removes what exports left behind.
+ *
+ * <p>A piece is unlisted first, and its object deleted after the longest read lease has passed. An
+ * object without a manifest goes after it was seen so for that long; a manifest without an object
+ * goes at once. Each store is swept by the live node that leads rendezvous hashing for it; two
+ * owners at once are harmless, since every step is conditional or idempotent.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+public final class StoreSweepController implements AutoCloseable {
+
+  private static final Logger LOGGER = LogManager.getLogger(StoreSweepController.class);
+  private static final Duration DELETION_INTERVAL = Duration.ofMillis(100);
+  private static final double HIGH_WATER = 0.9;
+  private static final double LOW_WATER = 0.8;
+  private static final int PAGE_SIZE = 1_000;
+  private static final int STORES_AT_ONCE = 4;
+  private static final int MAX_DELETIONS = 10_000;
+  private static final int MAX_ORPHANS = 10_000;
+
+  private final String node;
+  private final MembershipController membership;
+  private final StoreController index;
+  private final StorePort stores;
+  private final NodeMetrics metrics;
+  private final InstantSource clock;
+  private final Settings settings;
+  private final Deque<Deletion> deletions = new ArrayDeque<>();
+  private final Map<Deletion.Target, Instant> orphans = new HashMap<>();
+  private Disposable running = () -> {};
+
+  /** Creates a controller that does not sweep yet. */
+  public StoreSweepController(
+      String node,
+      MembershipController membership,
+      StoreController index,
+      StorePort stores,
+      NodeMetrics metrics,
+      InstantSource clock,
+      Settings settings) {
+    this.node = node;
+    this.membership = membership;
+    this.index = index;
+    this.stores = stores;
+    this.metrics = metrics;
+    this.clock = clock;
+    this.settings = settings;
+    metrics.gauge("store.pending_deletions", this::pendingDeletions);
+  }
+
+  /** Starts to sweep. */
+  public synchronized void start() {
+    Disposable sweeps =
+        Flux.interval(settings.sweepInterval())
+            .onBackpressureDrop()
+            .concatMap(tick -> sweepAll(), 1)
+            .subscribe();
+    Disposable deletes =
+        Flux.interval(DELETION_INTERVAL)
+            .onBackpressureDrop()
+            .concatMap(tick -> deleteDue(), 1)
+            .subscribe();
+    running = reactor.core.Disposables.composite(sweeps, deletes);
+  }
+
+  /** Deletes an object once no reader can be in the middle of it. */
+  public synchronized void deleteAfterLease(String store, String objectName) {
+    if (deletions.size() >= MAX_DELETIONS) {
+      // The sweep for objects without manifest finds it later.
+      metrics.count("store.deletions_deferred");
+      return;
+    }
+    Instant due = clock.instant().plus(settings.readLease());
+    deletions.add(new Deletion(new Deletion.Target(store, objectName), due));
+  }
+
+  @Override
+  public synchronized void close() {
+    running.dispose();
+  }
+
+  private synchronized int pendingDeletions() {
+    return deletions.size();
+  }
+
+  private Mono<Void> deleteDue() {
+    return Flux.fromIterable(takeDue(clock.instant()))
+        .concatMap(deletion -> delete(deletion.target))
+        .then();
+  }
+
+  private synchronized List<Deletion> takeDue(Instant now) {
+    List<Deletion> due = new ArrayList<>();
+    while (!deletions.isEmpty() && !deletions.peek().due.isAfter(now)) {
+      due.add(deletions.poll());
+    }
+    return due;
+  }
+
+  private Mono<Void> delete(Deletion.Target target) {
+    return Mono.justOrEmpty(index.find(target.store))
+        .flatMap(store -> stores.delete(store.address(), target.objectName))
+        .doOnNext(
+            answer -> metrics.count(answer.isRight() ? "store.deleted" : "store.delete_failed"))
+        .then();
+  }
+
+  private Mono<Void> sweepAll() {
+    return Flux.fromIterable(index.usable(clock.instant()))
+        .filter(store -> isOwner(store.name()))
+        .flatMap(this::sweepOne, STORES_AT_ONCE)
+        .then();
+  }
+
+  private Mono<Void> sweepOne(Store store) {
+    return makeRoom(store)
+        .then(Mono.defer(() -> sweep(store)))
+        .onErrorResume(error -> unexpected(store, error));
+  }
+
+  private static Mono<Void> unexpected(Store store, Throwable error) {
+    LogEvent.of("store_sweep_failed").with("store", store.name()).with("error", error).warn(LOGGER);
+    return Mono.empty();
+  }
+
+  private boolean isOwner(String store) {
+    Set<String> live =
+        membership.live(HostListPort.Role.NODE).stream()
+            .map(HostListPort.Host::name)
+            .collect(Collectors.toSet());
+    live.add(node);
+    return RendezvousHash.rank(store, live).getFirst().equals(node);
+  }
+
+  private Mono<Void> makeRoom(Store store) {
+    return stores
+        .usage(store.address())
+        .filter(Either::isRight)
+        .flatMapMany(answer -> Flux.fromIterable(victims(store, answer.get().usedBytes())))
+        .concatMap(manifest -> unlist(store, manifest, "store.evicted"))
+        .then();
+  }
+
+  private List<PieceManifest> victims(Store store, long usedBytes) {
+    List<PieceManifest> victims = new ArrayList<>();
+    if (usedBytes <= HIGH_WATER * store.capacityBytes()) {
+      return victims;
+    }
+    long excess = usedBytes - (long) (LOW_WATER * store.capacityBytes()) - pendingBytes(store);
+    for (PieceManifest manifest : index.evictionOrder(store.name())) {
+      if (excess <= 0) {
+        break;
+      }
+      excess -= manifest.length();
+      victims.add(manifest);
+    }
+    return victims;
+  }
+
+  /** Bytes of unlisted objects are not known here; a piece of the usual size is assumed. */
+  private synchronized long pendingBytes(Store store) {
+    long pending = deletions.stream().filter(d -> d.target.store.equals(store.name())).count();
+    List<PieceManifest> listed = index.evictionOrder(store.name());
+    return listed.isEmpty() ? 0 : pending * listed.getFirst().length();
+  }
+
+  private Mono<Void> unlist(Store store, PieceManifest manifest, String counter) {
+    return stores
+        .unlist(store.address(), manifest.pieceId(), manifest.objectName())
+        .doOnNext(answer -> unlisted(store, manifest, counter, answer))
+        .then();
+  }
+
+  private void unlisted(
+      Store store, PieceManifest manifest, String counter, Either<PlatformError, Boolean> answer) {
+    if (answer.isRight()) {
+      metrics.count(counter);
+      index.unlisted(store.name(), manifest.pieceId());
+      deleteAfterLease(store.name(), manifest.objectName());
+    }
+  }
+
+  private Mono<Void> sweep(Store store) {
+    return Mono.zip(objectNames(store), manifests(store))
+        .flatMap(both -> sweep(store, both.getT1(), both.getT2()));
+  }
+
+  private Mono<Void> sweep(Store store, Set<String> objects, List<PieceManifest> manifests) {
+    Set<String> listed =
+        manifests.stream().map(PieceManifest::objectName).collect(Collectors.toSet());
+    Set<String> orphaned = new HashSet<>(objects);
+    orphaned.removeAll(listed);
+    Flux<Void> deleted =
+        Flux.fromIterable(expiredOrphans(store.name(), orphaned, clock.instant()))
+            .doOnNext(target -> metrics.count("store.orphans_deleted"))
+            .concatMap(this::delete);
+    // Objects were listed before manifests, so an object may be newer than that list: ask again.
+    Flux<Void> unlisted =
+        Flux.fromIterable(manifests)
+            .filter(manifest -> !objects.contains(manifest.objectName()))
+            .filterWhen(manifest -> isObjectMissing(store, manifest))
+            .concatMap(manifest -> unlist(store, manifest, "store.manifests_without_object"));
+    return deleted.thenMany(unlisted).then();
+  }
+
+  private Mono<Boolean> isObjectMissing(Store store, PieceManifest manifest) {
+    return objectNames(store).map(names -> !names.contains(manifest.objectName()));
+  }
+
+  /** Returns the objects that have been without a manifest for longer than any export or read. */
+  private synchronized List<Deletion.Target> expiredOrphans(
+      String store, Set<String> orphaned, Instant now) {
+    orphans
+        .keySet()
+        .removeIf(target -> target.store.equals(store) && !orphaned.contains(target.objectName));
+    for (String name : orphaned) {
+      if (orphans.size() < MAX_ORPHANS) {
+        orphans.putIfAbsent(new Deletion.Target(store, name), now);
+      }
+    }
+    Duration grace = settings.readLease().plus(ExportController.EXPORT_TIMEOUT);
+    return orphans.entrySet().stream()
+        .filter(entry -> entry.getKey().store.equals(store))
+        .filter(entry -> entry.getValue().plus(grace).isBefore(now))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  private Mono<Set<String>> objectNames(Store store) {
+    return stores
+        .objects(store.address(), "", PAGE_SIZE)
+        .expand(
+            answer ->
+                answer.isRight() && !answer.get().isLast()
+                    ? stores.objects(
+                        store.address(), answer.get().objects().getLast().name(), PAGE_SIZE)
+                    : Mono.empty())
+        .collectList()
+        .filter(pages -> pages.getLast().isRight())
+        .map(
+            pages ->
+                pages.stream()
+                    .flatMap(page -> page.get().objects().stream())
+                    .map(StorePort.StoredObject::name)
+                    .collect(Collectors.toSet()));
+  }
+
+  private Mono<List<PieceManifest>> manifests(Store store) {
+    return stores
+        .list(store.address(), "", PAGE_SIZE)
+        .expand(
+            answer ->
+                answer.isRight() && !answer.get().isLast()
+                    ? stores.list(
+                        store.address(), answer.get().manifests().getLast().pieceId(), PAGE_SIZE)
+                    : Mono.empty())
+        .collectList()
+        .filter(pages -> pages.getLast().isRight())
+        .map(pages -> pages.stream().flatMap(page -> page.get().manifests().stream()).toList());
+  }
+
+  /**
+   * Periods of a sweep.
+   *
+   * @param readLease longest time from the choice of a stored piece to the end of its read
+   * @param sweepInterval time between sweeps
+   */
+  public record Settings(Duration readLease, Duration sweepInterval) {}
+
+  private record Deletion(Target target, Instant due) {
+
+    private record Target(String store, String objectName) {}
+  }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
@@ -0,0 +1,406 @@
+package org.dragonflyhill.proofs;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.awaitility.Awaitility;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.standins.RunnerStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests that no runner uses a cache block that is freed, partly written or not the one meant,
+ * whatever the stores do.
+ */
+public final class CacheProofTest {
+
+  private static final String PROMISE = "1 no freed or partly written cache block is read";
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+  private static final int PIECES = 3;
+  private static final int PIECE_BYTES = 8_000;
+  private static final int ANSWER_TOKENS = 6;
+  private static final int ROUNDS = 3;
+
+  private Deployment deployment;
+  private ProcessHelper node;
+  private Random random;
+  private int requests;
+  private int wrongAnswers;
+
+  /** Starts a runner, two stores and two nodes. */
+  @BeforeMethod
+  public void start() {
+    random = Proof.random(PROMISE);
+    requests = 0;
+    wrongAnswers = 0;
+    deployment = new Deployment(1);
+    deployment.startStores(2);
+    ProcessHelper.Ended applied = deployment.apply();
+    assertEquals(applied.exitCode(), 0, applied.output());
+    node = startNode("node-a");
+    startNode("node-b");
+  }
+
+  /** Ends all processes. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    deployment.close();
+  }
+
+  private ProcessHelper startNode(String name) {
+    return deployment.startNode(name, "--read-lease-millis=300", "--sweep-interval-millis=200");
+  }
+
+  @Test
+  public void importsWhatWasExported() {
+    for (int round = 0; round < ROUNDS; round++) {
+      String prompt = keptPrompt();
+      evict();
+      assertEquals(cachedTokens(complete(prompt)), PIECES * 2_000);
+    }
+    assertEquals(used().size(), ROUNDS * PIECES);
+    report("no failure", ROUNDS);
+  }
+
+  @Test
+  public void importsNothingFromEngineThatCannotCheck() {
+    runnerFaults("{\"report_no_import_check\":true}");
+    // The node reads the engine's word when it reads the contents, so it starts anew.
+    ProcessHelper late = startNode("node-late");
+    String prompt = prompt();
+    complete(late, prompt);
+    awaitKept(PIECES);
+    evict();
+    assertEquals(cachedTokens(complete(late, prompt)), 0);
+    assertEquals(imported().size(), 0);
+    report("engine without a check of imports", 1);
+  }
+
+  @Test
+  public void checkerSeesWhatAnUncheckedImportUses() {
+    String prompt = keptPrompt();
+    runnerFaults("{\"skip_import_check\":true}");
+    storeFaults("{\"corrupt_reads\":true}");
+    evict();
+    complete(prompt);
+    assertTrue(violations() > 0, "the checker must see damaged bytes that were used");
+  }
+
+  @Test
+  public void computesWhatComesTruncated() {
+    damagedReads("{\"truncate_reads\":true}", "reads truncated");
+  }
+
+  @Test
+  public void computesWhatComesSwapped() {
+    damagedReads("{\"swap_reads\":true}", "reads swapped");
+  }
+
+  @Test
+  public void computesWhatComesChanged() {
+    damagedReads("{\"corrupt_reads\":true}", "reads with a changed byte");
+  }
+
+  private void damagedReads(String fault, String name) {
+    for (int round = 0; round < ROUNDS; round++) {
+      String prompt = keptPrompt();
+      evict();
+      storeFaults(fault);
+      assertEquals(cachedTokens(complete(prompt)), 0);
+      storeFaults("{}");
+    }
+    assertTrue(imported().size() >= ROUNDS, "damaged reads must have happened");
+    report(name, ROUNDS);
+  }
+
+  @Test
+  public void computesWhatIsFreedWhileItIsRead() {
+    for (int round = 0; round < ROUNDS; round++) {
+      String prompt = keptPrompt();
+      evict();
+      storeFaults("{\"link_bytes_per_second\":2000}");
+      CompletableFuture<HttpResponse<String>> answer =
+          CompletableFuture.supplyAsync(() -> send(node, prompt));
+      pause(200 + random.nextInt(200));
+      freeAllObjects();
+      check(prompt, answer.join());
+      storeFaults("{}");
+    }
+    assertTrue(imported().stream().anyMatch(CacheProofTest::isDamaged), "no read hit freed bytes");
+    report("objects freed while a runner reads", ROUNDS);
+  }
+
+  @Test
+  public void listsNothingThatWasWrittenInPart() {
+    storeFaults("{\"partial_writes\":true}");
+    for (int round = 0; round < ROUNDS; round++) {
+      String prompt = prompt();
+      complete(prompt);
+      int expected = (round + 1) * PIECES;
+      Awaitility.await().atMost(LIMIT).until(() -> partialWrites() >= expected);
+      evict();
+      assertEquals(cachedTokens(complete(prompt)), 0);
+    }
+    storeFaults("{}");
+    awaitNoOrphans();
+    report("store keeps half of an object", ROUNDS);
+  }
+
+  @Test
+  public void computesAfterStoreDiedDuringWrite() {
+    storeFaults("{\"link_bytes_per_second\":1000}");
+    String prompt = prompt();
+    complete(prompt);
+    pause(300 + random.nextInt(500));
+    for (int i = 0; i < deployment.stores.size(); i++) {
+      restartStore(i);
+    }
+    evict();
+    complete(prompt);
+    awaitKept(PIECES);
+    evict();
+    complete(prompt);
+    report("store killed during a write", 1);
+  }
+
+  @Test
+  public void computesWhatStoreHadNoRoomFor() {
+    storeFaults("{\"is_disk_full\":true}");
+    for (int round = 0; round < ROUNDS; round++) {
+      String prompt = prompt();
+      complete(prompt);
+      int failed = (round + 1) * PIECES;
+      awaitMetric("export.failed", failed);
+      evict();
+      assertEquals(cachedTokens(complete(prompt)), 0);
+    }
+    assertEquals(listedPieces().size(), 0);
+    report("store full", ROUNDS);
+  }
+
+  @Test
+  public void readsNothingThatLandsAfterItsDeletion() {
+    storeFaults("{\"write_delay_millis\":1500}");
+    String prompt = prompt();
+    complete(prompt);
+    // The nodes give up at once and delete after the lease; the writes land later.
+    Awaitility.await().atMost(LIMIT).until(() -> writes() >= PIECES);
+    storeFaults("{}");
+    evict();
+    complete(prompt);
+    awaitNoOrphans();
+    evict();
+    complete(prompt);
+    report("write lands after the deletion", 1);
+  }
+
+  @Test
+  public void computesWhatRunnerEvictedAfterTheDecision() {
+    for (int round = 0; round < ROUNDS; round++) {
+      String prompt = prompt();
+      complete(prompt);
+      runnerFaults("{\"evict_before_prefill\":true}");
+      assertEquals(cachedTokens(complete(prompt)), 0);
+      runnerFaults("{}");
+    }
+    report("runner evicts between decision and use", ROUNDS);
+  }
+
+  @Test
+  public void twoNodesListOneObjectForEachPiece() {
+    for (int round = 0; round < ROUNDS; round++) {
+      String prompt = prompt();
+      List<CompletableFuture<HttpResponse<String>>> answers =
+          deployment.nodes.stream()
+              .map(each -> CompletableFuture.supplyAsync(() -> send(each, prompt)))
+              .toList();
+      answers.forEach(answer -> check(prompt, answer.join()));
+      awaitKept((round + 1) * PIECES);
+    }
+    awaitNoOrphans();
+    assertEquals(listedPieces().size(), ROUNDS * PIECES);
+    report("two nodes export the same pieces", ROUNDS);
+  }
+
+  private String prompt() {
+    StringBuilder text = new StringBuilder();
+    while (text.length() < PIECES * PIECE_BYTES) {
+      text.append("shed ").append(random.nextInt(1_000_000)).append(' ');
+    }
+    return text.toString();
+  }
+
+  /** Returns a prompt whose pieces are in the stores, as all nodes know. */
+  private String keptPrompt() {
+    String prompt = prompt();
+    final int before = listedPieces().size();
+    complete(prompt);
+    awaitKept(before + PIECES);
+    return prompt;
+  }
+
+  private void awaitKept(int pieces) {
+    for (ProcessHelper each : deployment.nodes) {
+      Awaitility.await()
+          .atMost(LIMIT)
+          .until(() -> deployment.metric(each, "store.index_entries") >= pieces);
+    }
+  }
+
+  private void awaitMetric(String name, int value) {
+    Awaitility.await().atMost(LIMIT).until(() -> deployment.metric(node, name) >= value);
+  }
+
+  private void evict() {
+    deployment.call(deployment.runners.getFirst(), "POST", "/cache/clear");
+    for (ProcessHelper each : deployment.nodes) {
+      Awaitility.await()
+          .atMost(LIMIT)
+          .until(() -> deployment.metric(each, "cache.index_entries") == 0);
+    }
+  }
+
+  private JsonNode complete(String prompt) {
+    return complete(node, prompt);
+  }
+
+  private JsonNode complete(ProcessHelper through, String prompt) {
+    return check(prompt, send(through, prompt));
+  }
+
+  private HttpResponse<String> send(ProcessHelper through, String prompt) {
+    return deployment.complete(through, prompt, ANSWER_TOKENS, false);
+  }
+
+  private JsonNode check(String prompt, HttpResponse<String> answer) {
+    requests++;
+    JsonNode body = Json.readTree(answer.body()).get();
+    String text = body.at("/choices/0/text").asText();
+    if (!text.equals(RunnerStandin.text(prompt, "v1", ANSWER_TOKENS))) {
+      wrongAnswers++;
+    }
+    return body;
+  }
+
+  private static int cachedTokens(JsonNode body) {
+    return body.at("/usage/prompt_tokens_details/cached_tokens").asInt(-1);
+  }
+
+  private void report(String failure, int rounds) {
+    Proof.report(PROMISE, failure, rounds, requests, violations());
+  }
+
+  /** Counts wrong answers, wrong bytes that were used, and manifests of partly written objects. */
+  private int violations() {
+    long damaged = used().stream().filter(CacheProofTest::isDamaged).count();
+    Set<String> partial = new HashSet<>();
+    Set<String> listed = new HashSet<>();
+    for (JsonNode record : storeRecords()) {
+      if (record.path("is_partial").asBoolean()) {
+        partial.add(record.path("wrote_object").asText());
+      }
+      if (record.has("listed_piece")) {
+        listed.add(record.path("object_name").asText());
+      }
+    }
+    listed.retainAll(partial);
+    return wrongAnswers + (int) damaged + listed.size();
+  }
+
+  private List<JsonNode> imported() {
+    return deployment.records(deployment.runners.getFirst()).stream()
+        .filter(record -> record.has("imported_piece"))
+        .toList();
+  }
+
+  private List<JsonNode> used() {
+    return imported().stream().filter(record -> record.path("is_used").asBoolean()).toList();
+  }
+
+  private static boolean isDamaged(JsonNode record) {
+    return !record.path("digest").equals(record.path("true_digest"));
+  }
+
+  private List<JsonNode> storeRecords() {
+    return deployment.stores.stream().flatMap(s -> deployment.records(s).stream()).toList();
+  }
+
+  private long partialWrites() {
+    return storeRecords().stream().filter(r -> r.path("is_partial").asBoolean()).count();
+  }
+
+  private long writes() {
+    return storeRecords().stream().filter(record -> record.has("wrote_object")).count();
+  }
+
+  private List<JsonNode> listedPieces() {
+    return deployment.stores.stream().flatMap(s -> list(s, "manifests").stream()).toList();
+  }
+
+  private List<JsonNode> list(ProcessHelper store, String what) {
+    String body = deployment.call(store, "GET", "/" + what + "?limit=10000").body();
+    List<JsonNode> items = new ArrayList<>();
+    Json.readTree(body).get().path(what).forEach(items::add);
+    return items;
+  }
+
+  private void awaitNoOrphans() {
+    Awaitility.await().atMost(LIMIT).until(() -> objectNames().equals(listedObjects()));
+  }
+
+  private Set<String> objectNames() {
+    Set<String> names = new HashSet<>();
+    deployment.stores.forEach(
+        store -> list(store, "objects").forEach(object -> names.add(object.path("name").asText())));
+    return names;
+  }
+
+  private Set<String> listedObjects() {
+    Set<String> names = new HashSet<>();
+    listedPieces().forEach(manifest -> names.add(manifest.path("object_name").asText()));
+    return names;
+  }
+
+  private void freeAllObjects() {
+    for (ProcessHelper store : deployment.stores) {
+      list(store, "objects")
+          .forEach(
+              object ->
+                  deployment.call(store, "DELETE", "/objects/" + object.path("name").asText()));
+    }
+  }
+
+  private void restartStore(int index) {
+    ProcessHelper store = deployment.stores.get(index);
+    store.kill();
+    ProcessHelper again = deployment.standin("store", "--port=" + store.port("port"));
+    deployment.stores.set(index, again);
+  }
+
+  private void storeFaults(String json) {
+    deployment.stores.forEach(store -> deployment.faults(store, json));
+  }
+
+  private void runnerFaults(String json) {
+    deployment.faults(deployment.runners.getFirst(), json);
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- a/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
@@ -37,6 +37,7 @@
   final ProcessHelper service;
   final List<ProcessHelper> runners = new ArrayList<>();
   final List<ProcessHelper> nodes = new ArrayList<>();
+  final List<ProcessHelper> stores = new ArrayList<>();
   private final HttpClient client = HttpClient.newHttpClient();
 
   /** Starts everything but the nodes, and applies an inventory. */
@@ -92,10 +93,15 @@
 
   /** Applies the inventory of this deployment with the command line. */
   ProcessHelper.Ended apply() {
+    return apply(inventory());
+  }
+
+  /** Applies a changed inventory with the command line. */
+  ProcessHelper.Ended apply(ObjectNode inventory) {
     try {
       Path file = Files.createTempFile("inventory-", ".json");
       file.toFile().deleteOnExit();
-      Files.writeString(file, inventory().toString());
+      Files.writeString(file, inventory.toString());
       return ProcessHelper.run(
           org.dragonflyhill.cli.Main.class,
           List.of("apply", file.toString(), "--log", log.address("port")));
@@ -143,6 +149,7 @@
     ArrayNode operations = dispatch.putArray("operations");
     operations.addObject().put("name", "send").put("repeatable", false);
     operations.addObject().put("name", "state").put("repeatable", true);
+    addStores(root);
     return root;
   }
 
@@ -231,6 +238,44 @@
     return body.lines().map(line -> Json.readTree(line).get()).toList();
   }
 
+  /** Starts stores, which the inventory of this deployment has from then on. */
+  void startStores(int count) {
+    for (int i = 0; i < count; i++) {
+      stores.add(standin("store"));
+    }
+  }
+
+  private void addStores(ObjectNode inventory) {
+    ArrayNode list = inventory.putArray("stores");
+    for (int i = 0; i < stores.size(); i++) {
+      list.addObject()
+          .put("name", "store-" + i)
+          .put("availability_zone", "rancagua")
+          .put("address", stores.get(i).address("port"))
+          .put("capacity_bytes", 1_000_000_000)
+          .put("link_bytes_per_second", 1_000_000_000)
+          .put("administrative_state", "ACTIVE");
+    }
+  }
+
+  /** Calls a stand-in itself and returns the answer. */
+  HttpResponse<String> call(ProcessHelper standin, String method, String path) {
+    return send(
+        HttpRequest.newBuilder(URI.create("http://" + standin.address("port") + path))
+            .method(method, HttpRequest.BodyPublishers.noBody())
+            .build());
+  }
+
+  /** Returns the value of a counter or gauge of a node, 0 if there is none. */
+  long metric(ProcessHelper node, String name) {
+    HttpResponse<String> answer =
+        send(request(node, "/metrics", GRANJA_KEY).header("Accept", "application/json").build());
+    JsonNode metrics = Json.readTree(answer.body()).get();
+    JsonNode gauge = metrics.path("gauges").path(name).path("value");
+    JsonNode counter = metrics.path("counters").path(name).path("count");
+    return gauge.asLong(0) + counter.asLong(0);
+  }
+
   @Override
   public void close() {
     closer.close();
--- a/standins/src/main/java/org/dragonflyhill/standins/Faults.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Faults.java
@@ -17,6 +17,15 @@
  * @param wrongWeightVersion whether completions carry another weight version than asked for
  * @param truncateReads whether pieces are returned without their last byte
  * @param ignoreFencing whether orders with an old fencing token are taken
+ * @param partialWrites whether a store keeps only half of each object and cuts the connection
+ * @param writeDelayMillis if above 0, a store cuts the connection of each write and does the write
+ *     after this time, in milliseconds
+ * @param swapReads whether a store returns another object than asked for
+ * @param corruptReads whether a store returns objects with one byte changed
+ * @param skipImportCheck whether a runner uses imported pieces without the check of their digest
+ *     that it says it makes
+ * @param reportNoImportCheck whether a runner says that it checks no imports
+ * @param evictBeforePrefill whether a runner empties its cache when a completion gets its slot
  */
 public record Faults(
     long delayMillis,
@@ -30,8 +39,18 @@
     int cutAfterTokens,
     boolean wrongWeightVersion,
     boolean truncateReads,
-    boolean ignoreFencing) {
+    boolean ignoreFencing,
+    boolean partialWrites,
+    long writeDelayMillis,
+    boolean swapReads,
+    boolean corruptReads,
+    boolean skipImportCheck,
+    boolean reportNoImportCheck,
+    boolean evictBeforePrefill) {
 
   /** No failure. */
-  public static final Faults NONE = new Faults(0, 0, 0, 0, 0, 0, 0, false, 0, false, false, false);
+  public static final Faults NONE =
+      new Faults(
+          0, 0, 0, 0, 0, 0, 0, false, 0, false, false, false, false, 0, false, false, false, false,
+          false);
 }
--- a/standins/src/main/java/org/dragonflyhill/standins/Main.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Main.java
@@ -14,7 +14,8 @@
 
   private static final int EXIT_USAGE = 2;
   private static final int MAX_PORT = 65_535;
-  private static final List<String> KINDS = List.of("runner", "service", "log", "host-list");
+  private static final List<String> KINDS =
+      List.of("runner", "service", "store", "log", "host-list");
   private static final List<SettingSpec> SPECS =
       List.of(
           SettingSpec.optional("host", "127.0.0.1", "IP number to listen on"),
@@ -24,6 +25,7 @@
           SettingSpec.optional("cache-tokens", "64000", "tokens that a runner's cache holds"),
           SettingSpec.optional(
               "prefill-tokens-per-second", "20000", "prompt tokens that a runner computes"),
+          SettingSpec.optional("capacity-bytes", "1000000000", "bytes that a store holds"),
           SettingSpec.optional("token-micros", "2000", "time of a generated token, in us"));
 
   private Main() {}
@@ -41,6 +43,7 @@
     int port = values.integer("port", 0, MAX_PORT);
     int adminPort = values.integer("admin-port", 0, MAX_PORT);
     RunnerStandin.Engine engine = engine(values);
+    int capacityBytes = values.integer("capacity-bytes", 1, Integer.MAX_VALUE);
     if (!values.faults().isEmpty()) {
       values.faults().forEach(fault -> System.err.println("dragonflyhill-standin: " + fault));
       System.exit(EXIT_USAGE);
@@ -49,6 +52,7 @@
         switch (args[0]) {
           case "runner" -> standins.runner(port, adminPort, engine);
           case "service" -> standins.service(port, adminPort);
+          case "store" -> standins.store(port, adminPort, capacityBytes);
           case "log" -> standins.log(port, adminPort);
           default -> standins.hostList(port, adminPort);
         };
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/ObjectClient.java
@@ -0,0 +1,46 @@
+package org.dragonflyhill.standins;
+
+import java.time.Duration;
+import java.util.Optional;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+
+/** Moves objects between the runner stand-in and stores. Thread-safe; no argument may be null. */
+final class ObjectClient {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final int CREATED = 201;
+
+  private final HttpClient client = HttpClient.create().disableRetry(true);
+
+  /** Creates an object; returns whether it is certainly whole. */
+  Mono<Boolean> write(String address, String name, byte[] bytes) {
+    return client
+        .put()
+        .uri(uri(address, name))
+        .send(ByteBufFlux.fromInbound(Mono.just(bytes)))
+        .responseSingle(
+            (response, body) -> body.then(Mono.just(response.status().code() == CREATED)))
+        .timeout(TIMEOUT)
+        .onErrorReturn(false);
+  }
+
+  /** Reads an object; the result is empty if it could not be read. */
+  Mono<Optional<byte[]>> read(String address, String name) {
+    return client
+        .get()
+        .uri(uri(address, name))
+        .responseSingle(
+            (response, body) ->
+                response.status().code() == 200 ? body.asByteArray() : Mono.<byte[]>empty())
+        .timeout(TIMEOUT)
+        .map(Optional::of)
+        .onErrorReturn(Optional.empty())
+        .defaultIfEmpty(Optional.empty());
+  }
+
+  private static String uri(String address, String name) {
+    return "http://" + address + "/objects/" + name;
+  }
+}
--- a/standins/src/main/java/org/dragonflyhill/standins/PrefixCache.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/PrefixCache.java
@@ -34,6 +34,11 @@
     return count;
   }
 
+  /** Returns whether a piece is there. */
+  public synchronized boolean holds(String pieceId) {
+    return pieces.containsKey(pieceId);
+  }
+
   /** Adds a piece, evicting others where there is no room. */
   public synchronized void add(String pieceId, int tokens, long nowMillis) {
     if (pieces.put(pieceId, tokens) == null) {
@@ -52,9 +57,13 @@
     }
   }
 
-  /** Returns the ids of all pieces and the number of the next event. */
-  public synchronized CachePort.Contents contents() {
-    return new CachePort.Contents(events.size(), List.copyOf(pieces.keySet()));
+  /**
+   * Returns the ids of all pieces and the number of the next event.
+   *
+   * @param verifiesImports whether the engine says that it checks what it imports
+   */
+  public synchronized CachePort.Contents contents(boolean verifiesImports) {
+    return new CachePort.Contents(events.size(), List.copyOf(pieces.keySet()), verifiesImports);
   }
 
   /**
--- a/standins/src/main/java/org/dragonflyhill/standins/StandinRequest.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/StandinRequest.java
@@ -60,6 +60,11 @@
         .orElse(0L);
   }
 
+  /** Returns a text of the query, empty for none. */
+  public String parameter(String name) {
+    return Optional.ofNullable(query.parameters().get(name)).map(List::getFirst).orElse("");
+  }
+
   /** Returns the parts of the path. */
   public List<String> parts() {
     return List.of(path.substring(1).split("/"));
--- a/standins/src/main/java/org/dragonflyhill/standins/Standins.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Standins.java
@@ -41,6 +41,16 @@
     return server.get();
   }
 
+  /** Starts a store that takes so many bytes of objects. */
+  public StandinServer store(int port, int adminPort, long capacityBytes) {
+    AtomicReference<StandinServer> server = new AtomicReference<>();
+    var store =
+        new StoreStandin(
+            capacityBytes, () -> server.get().faults(), value -> server.get().record(value), clock);
+    server.set(new StandinServer(host, port, adminPort, store));
+    return server.get();
+  }
+
   /** Starts a log service. */
   public StandinServer log(int port, int adminPort) {
     return new StandinServer(host, port, adminPort, new LogStandin());
