--- a/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -30,6 +30,8 @@
  * @param balancerDelay how long a stopping node still accepts requests
  * @param snapshotAge age of the configuration's last snapshot at which the next one is due
  * @param claimStepFault fault switch of tests
+ * @param readLease longest time from the choice of a stored piece to the end of its read
+ * @param sweepInterval time between sweeps of a store
  */
 public record DaemonSettings(
     String node,
@@ -47,7 +49,9 @@
     Duration platformTimeout,
     Duration balancerDelay,
     Duration snapshotAge,
-    ClaimStepFault claimStepFault) {
+    ClaimStepFault claimStepFault,
+    Duration readLease,
+    Duration sweepInterval) {
 
   private static final int MIN_SECRET_LENGTH = 16;
   private static final int MAX_PORT = 65_535;
@@ -89,7 +93,12 @@
           SettingSpec.optional(
               "fail-pause-millis",
               "0",
-              "how long it is held at that step, in milliseconds, 0 to end the process"));
+              "how long it is held at that step, in milliseconds, 0 to end the process"),
+          SettingSpec.optional(
+              "read-lease-millis",
+              "30000",
+              "longest time from the choice of a stored piece to the end of its read"),
+          SettingSpec.optional("sweep-interval-millis", "30000", "time between sweeps of a store"));
 
   /** Reads the settings; what is wrong is in {@link SettingValues#faults()} afterwards. */
   public static DaemonSettings from(SettingValues values) {
@@ -109,7 +118,9 @@
         values.millis("platform-timeout-millis"),
         values.millis("balancer-delay-millis"),
         values.millis("snapshot-age-millis"),
-        claimStepFault(values));
+        claimStepFault(values),
+        values.millis("read-lease-millis"),
+        values.millis("sweep-interval-millis"));
   }
 
   /** Returns when this node appends snapshots of the configuration. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -17,6 +17,7 @@
 import org.dragonflyhill.platform.HttpOrder;
 import org.dragonflyhill.platform.HttpRunner;
 import org.dragonflyhill.platform.HttpService;
+import org.dragonflyhill.platform.HttpStore;
 import org.dragonflyhill.platform.LogEvent;
 import org.dragonflyhill.platform.LogPort;
 import reactor.core.publisher.Flux;
@@ -111,7 +112,25 @@
     final var pieceKeys =
         new PieceKeys(
             settings.secret().getBytes(StandardCharsets.UTF_8), PieceKeys.DEFAULT_PIECE_TOKENS);
-    final var placement = new PlacementController(configuration, endpoints, cache, pieceKeys);
+    var stores = new HttpStore(endpointCaller, settings.platformTimeout());
+    final var storeIndex =
+        closer.add(new StoreController(configuration, endpoints, stores, metrics, clock));
+    final var sweeps =
+        closer.add(
+            new StoreSweepController(
+                settings.node(),
+                membership,
+                storeIndex,
+                stores,
+                metrics,
+                clock,
+                new StoreSweepController.Settings(settings.readLease(), settings.sweepInterval())));
+    final var links = new LinkController();
+    final var exports =
+        closer.add(new ExportController(storeIndex, sweeps, caches, stores, links, metrics, clock));
+    final var placement =
+        new PlacementController(
+            configuration, endpoints, cache, storeIndex, exports, links, metrics, pieceKeys);
     final var completions =
         new CompletionHandler(
             configuration, endpoints, placement, runners, new CompletionRelay(), clock);
@@ -125,6 +144,9 @@
     configuration.startSnapshots(settings.snapshotPolicy(), peers::rank);
     endpoints.start();
     cache.start();
+    storeIndex.start();
+    sweeps.start();
+    exports.start();
     orderLease.start();
     orders.start();
     DecisionJournal journal = new DecisionJournal();
