Check, resume and explicitly end every stream of an answer

Cause: the relay passed on whatever a runner sent. Chunks of other requests, repeated chunks and gaps reached the caller, a stream that broke ended with [DONE] as if it were whole, and a failed attempt was never made up for.

Ruled out: buffering whole answers before relaying them (costs the time to first token); trusting the connection to tell requests apart (a runner that batches may cross them on a sound connection).

A failure before the first event gets its own HTTP status; a later one is a last "event: error" with problem JSON and no [DONE]. EndpointHealth readmits an ejected endpoint by one probe and then twice as many requests with each success; its own word that it leaves holds for 30 s. Load reports age out after 5 s, and a runner that does not answer holds up no other poll.

--- a/core/src/main/java/org/dragonflyhill/core/EndpointHealth.java
+++ b/core/src/main/java/org/dragonflyhill/core/EndpointHealth.java
@@ -3,18 +3,18 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
 /**
  * Decides whether an endpoint may get new work, from the host list and what was observed.
  *
- * <p>The most pessimistic sign wins.
+ * <p>The most pessimistic sign wins. An endpoint that keeps failing is ejected; afterwards it gets
+ * one request, and with each success twice as many at once, until it is trusted again.
  *
  * <pre>{@code
  * health.failed("runner-1", now);
- * boolean usable = health.isUsable("runner-1", now);
+ * boolean usable = health.isUsable("runner-1", inFlight, now);
  * }</pre>
  *
  * <p>Not thread-safe; its owner guards it. No argument may be null.
@@ -27,48 +27,93 @@
   /** Time for which an endpoint is ejected at first; it doubles with each further ejection. */
   public static final Duration EJECTION_TIME = Duration.ofSeconds(2);
 
+  /**
+   * Time for which an endpoint's own word that it leaves holds. It is long, since such a word often
+   * comes only as a refusal, and each further try would be new work.
+   */
+  public static final Duration LEAVING_TIME = Duration.ofSeconds(30);
+
+  /** Requests at once from which an endpoint under readmission is trusted again. */
+  public static final int TRUSTED_REQUESTS = 16;
+
   private static final int MAX_DOUBLINGS = 5;
 
   private final Map<String, Observation> observations = new HashMap<>();
+  private final Map<String, Instant> leavingUntil = new HashMap<>();
   private Set<String> leaving = Set.of();
 
   /** Replaces the names of the endpoints that the host list calls leaving. */
   public void leaving(Set<String> names) {
-    leaving = new HashSet<>(names);
+    leaving = Set.copyOf(names);
   }
 
   /** Notes that the endpoint itself said that it is leaving. */
   public void saidLeaving(String endpoint, Instant now) {
-    observations.put(endpoint, new Observation(0, 0, now.plus(EJECTION_TIME)));
+    leavingUntil.put(endpoint, now.plus(LEAVING_TIME));
   }
 
   /** Notes an answer. */
   public void succeeded(String endpoint) {
-    observations.remove(endpoint);
+    Observation before = observations.get(endpoint);
+    if (before == null) {
+      return;
+    }
+    int doubled = before.allowed() * 2;
+    if (before.ejections() == 0 || doubled >= TRUSTED_REQUESTS) {
+      observations.remove(endpoint);
+    } else {
+      observations.put(endpoint, new Observation(0, before.ejections(), before.until(), doubled));
+    }
   }
 
   /** Notes a failure to answer. */
   public void failed(String endpoint, Instant now) {
     Observation before = observations.getOrDefault(endpoint, Observation.NONE);
     int failures = before.failures() + 1;
-    if (failures < EJECTION_FAILURES) {
-      observations.put(endpoint, new Observation(failures, before.ejections(), before.until()));
+    boolean isProbation = before.ejections() > 0;
+    if (failures < EJECTION_FAILURES && !isProbation) {
+      observations.put(endpoint, new Observation(failures, 0, before.until(), before.allowed()));
+      return;
+    }
+    if (now.isBefore(before.until())) {
+      // Work from before the ejection ends late; it says nothing new.
       return;
     }
     int doublings = Math.min(before.ejections(), MAX_DOUBLINGS);
     Instant until = now.plus(EJECTION_TIME.multipliedBy(1L << doublings));
-    observations.put(endpoint, new Observation(0, before.ejections() + 1, until));
+    observations.put(endpoint, new Observation(0, before.ejections() + 1, until, 1));
   }
 
-  /** Returns whether the endpoint may get new work. */
-  public boolean isUsable(String endpoint, Instant now) {
+  /**
+   * Returns whether the endpoint may get new work.
+   *
+   * @param endpoint name of the endpoint
+   * @param inFlight requests that run there
+   * @param now present time
+   */
+  public boolean isUsable(String endpoint, int inFlight, Instant now) {
     if (leaving.contains(endpoint)) {
       return false;
     }
-    return !now.isBefore(observations.getOrDefault(endpoint, Observation.NONE).until());
+    if (now.isBefore(leavingUntil.getOrDefault(endpoint, Instant.MIN))) {
+      return false;
+    }
+    Observation observation = observations.get(endpoint);
+    if (observation == null || observation.ejections() == 0) {
+      return true;
+    }
+    return !now.isBefore(observation.until()) && inFlight < observation.allowed();
   }
 
-  private record Observation(int failures, int ejections, Instant until) {
-    static final Observation NONE = new Observation(0, 0, Instant.EPOCH);
+  /**
+   * What was seen of an endpoint.
+   *
+   * @param failures failures since the last success
+   * @param ejections ejections since it was last trusted
+   * @param until end of its ejection
+   * @param allowed requests that it may run at once after the ejection
+   */
+  private record Observation(int failures, int ejections, Instant until, int allowed) {
+    static final Observation NONE = new Observation(0, 0, Instant.MIN, 1);
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRelay.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRelay.java
@@ -1,52 +1,51 @@
 package org.dragonflyhill.daemon;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
 import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.PlatformError;
 import org.dragonflyhill.platform.RunnerPort;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /**
- * Turns the events of a runner into the answer of the caller, plain or streamed.
+ * Turns the events of an answer into the reply of the caller, plain or streamed.
  *
  * <p>Stateless and thread-safe; no argument may be null.
  */
 public final class CompletionRelay {
 
-  private static final String DONE = "[DONE]";
-
-  /** Returns the reply for a runner's events. */
-  public Mono<Reply> reply(
-      RequestContext context, Call.Completion call, Flux<RunnerPort.Event> events) {
+  /** Returns the reply for an answer's events. */
+  public Mono<Reply> reply(RequestContext context, Call.Completion call, Flux<AnswerEvent> events) {
     if (call.isStreamed()) {
       return Mono.just(
-          new Reply.Stream(
-              events.map(event -> streamed(context, call, event)).concatWith(Flux.just(DONE))));
+          new Reply.Stream(events.concatMapIterable(event -> streamed(context, call, event))));
     }
     return events.reduce(new Answer(), Answer::add).map(answer -> answer.reply(context, call));
   }
 
-  private String streamed(RequestContext context, Call.Completion call, RunnerPort.Event event) {
+  private static List<Reply.StreamEvent> streamed(
+      RequestContext context, Call.Completion call, AnswerEvent event) {
     return switch (event) {
-      case RunnerPort.Event.Chunk chunk -> chunkBody(context, call, chunk).toString();
-      case RunnerPort.Event.End end -> endBody(context, call, end).toString();
-      case RunnerPort.Event.Failed failed ->
-          HttpFrontend.problemBody(context.requestId(), refusal(failed.error()));
+      case AnswerEvent.Text text ->
+          List.of(new Reply.StreamEvent.Data(chunkBody(context, call, text.text()).toString()));
+      case AnswerEvent.Whole whole ->
+          List.of(
+              new Reply.StreamEvent.Data(endBody(context, call, whole.end()).toString()),
+              new Reply.StreamEvent.Whole());
+      case AnswerEvent.Broken broken -> List.of(new Reply.StreamEvent.Broken(broken.refusal()));
     };
   }
 
-  private static ObjectNode chunkBody(
-      RequestContext context, Call.Completion call, RunnerPort.Event.Chunk chunk) {
+  private static ObjectNode chunkBody(RequestContext context, Call.Completion call, String text) {
     ObjectNode body =
         base(context, call, call.isChat() ? "chat.completion.chunk" : "text_completion");
     ObjectNode choice = body.putArray("choices").addObject().put("index", 0);
     if (call.isChat()) {
-      choice.putObject("delta").put("content", chunk.text());
+      choice.putObject("delta").put("content", text);
     } else {
-      choice.put("text", chunk.text());
+      choice.put("text", text);
     }
     choice.putNull("finish_reason");
     return body;
@@ -84,22 +83,15 @@
     usage.putObject("prompt_tokens_details").put("cached_tokens", end.cachedTokens());
   }
 
-  private static Refusal refusal(PlatformError error) {
-    return error.isWithoutEffect()
-        ? Refusal.notRun(RefusalReason.ENDPOINT_FAILED, "the runner was not reached")
-        : Refusal.unknown(RefusalReason.ENDPOINT_FAILED, "the runner gave no whole answer");
-  }
-
   /** Gathers a whole answer. Not thread-safe: one for each request. */
   private static final class Answer {
 
     private final StringBuilder text = new StringBuilder();
-    private RunnerPort.Event last =
-        new RunnerPort.Event.Failed(new PlatformError.Lost("no event came"));
+    private AnswerEvent last = new AnswerEvent.Text("");
 
-    Answer add(RunnerPort.Event event) {
-      if (event instanceof RunnerPort.Event.Chunk chunk) {
-        text.append(chunk.text());
+    Answer add(AnswerEvent event) {
+      if (event instanceof AnswerEvent.Text part) {
+        text.append(part.text());
       }
       last = event;
       return this;
@@ -107,11 +99,12 @@
 
     Reply reply(RequestContext context, Call.Completion call) {
       return switch (last) {
-        case RunnerPort.Event.End end -> new Reply.Json(200, whole(context, call, end).toString());
-        case RunnerPort.Event.Failed failed -> new Reply.Problem(refusal(failed.error()));
-        case RunnerPort.Event.Chunk chunk ->
+        case AnswerEvent.Whole whole ->
+            new Reply.Json(200, whole(context, call, whole.end()).toString());
+        case AnswerEvent.Broken broken -> new Reply.Problem(broken.refusal());
+        case AnswerEvent.Text part ->
             new Reply.Problem(
-                Refusal.unknown(RefusalReason.STREAM_CUT, "the runner's stream was cut"));
+                Refusal.unknown(RefusalReason.STREAM_CUT, "the answer ended without its end"));
       };
     }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/EndpointController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/EndpointController.java
@@ -4,11 +4,15 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import org.dragonflyhill.core.ConfigurationObject;
 import org.dragonflyhill.core.ConfigurationObject.AdministrativeState;
+import org.dragonflyhill.core.ConfigurationObject.Runner;
 import org.dragonflyhill.core.EndpointHealth;
 import org.dragonflyhill.platform.HostListPort;
 import org.dragonflyhill.platform.RunnerPort;
@@ -23,26 +27,39 @@
  */
 public final class EndpointController implements AutoCloseable {
 
+  /** Age from which a load report says nothing any more. */
+  static final Duration MAX_LOAD_AGE = Duration.ofSeconds(5);
+
   private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
   private static final int POLLS_AT_ONCE = 32;
+  private static final int ROUNDS_AT_ONCE = 16;
 
-  private final ConfigurationController configuration;
-  private final MembershipController membership;
+  private final Supplier<List<Runner>> configured;
+  private final Supplier<List<HostListPort.Host>> hostList;
   private final RunnerPort runners;
   private final InstantSource clock;
   private final EndpointHealth health = new EndpointHealth();
-  private final Map<String, RunnerPort.Load> loads = new HashMap<>();
+  private final Map<String, LoadReport> loads = new HashMap<>();
   private final Map<String, Integer> inFlight = new HashMap<>();
+  private final Set<String> polled = ConcurrentHashMap.newKeySet();
+  private List<HostListPort.Host> seenHosts = List.of();
   private Disposable polling = () -> {};
 
-  /** Creates a controller that does not poll yet. */
+  /**
+   * Creates a controller that does not poll yet.
+   *
+   * @param configured gives the runners of the configuration in force
+   * @param hostList gives the last host list, the same object until a new one came
+   * @param runners asks runners for their load
+   * @param clock present time
+   */
   public EndpointController(
-      ConfigurationController configuration,
-      MembershipController membership,
+      Supplier<List<Runner>> configured,
+      Supplier<List<HostListPort.Host>> hostList,
       RunnerPort runners,
       InstantSource clock) {
-    this.configuration = configuration;
-    this.membership = membership;
+    this.configured = configured;
+    this.hostList = hostList;
     this.runners = runners;
     this.clock = clock;
   }
@@ -52,24 +69,26 @@
     polling =
         Flux.interval(Duration.ZERO, LOAD_INTERVAL)
             .onBackpressureDrop()
-            .concatMap(tick -> pollAll(), 1)
+            .flatMap(tick -> pollAll(), ROUNDS_AT_ONCE)
             .subscribe();
   }
 
   /** Returns whether an endpoint may get new work. */
   public synchronized boolean isUsable(
       String name, AdministrativeState administrativeState, Instant now) {
-    health.leaving(
-        membership.hosts().stream()
-            .filter(host -> host.state() == HostListPort.State.LEAVING)
-            .map(HostListPort.Host::name)
-            .collect(Collectors.toSet()));
-    return administrativeState == AdministrativeState.ACTIVE && health.isUsable(name, now);
+    if (administrativeState != AdministrativeState.ACTIVE) {
+      return false;
+    }
+    readHostList();
+    return health.isUsable(name, inFlight.getOrDefault(name, 0), now);
   }
 
-  /** Returns the load that a runner last told. */
+  /** Returns the load that a runner last told, unless that was too long ago. */
   public synchronized Optional<RunnerPort.Load> load(String runner) {
-    return Optional.ofNullable(loads.get(runner));
+    Instant oldest = clock.instant().minus(MAX_LOAD_AGE);
+    return Optional.ofNullable(loads.get(runner))
+        .filter(report -> report.receivedAt().isAfter(oldest))
+        .map(LoadReport::load);
   }
 
   /** Returns the number of requests that this node runs on an endpoint. */
@@ -84,7 +103,7 @@
 
   /** Notes that a request on an endpoint ended. */
   public synchronized void ended(String endpoint) {
-    inFlight.merge(endpoint, -1, Integer::sum);
+    inFlight.computeIfPresent(endpoint, (name, count) -> count > 1 ? count - 1 : null);
   }
 
   /** Notes an answer of an endpoint. */
@@ -97,28 +116,59 @@
     health.failed(endpoint, now);
   }
 
+  /** Notes that an endpoint itself said that it is leaving. */
+  public synchronized void saidLeaving(String endpoint, Instant now) {
+    health.saidLeaving(endpoint, now);
+  }
+
   @Override
   public synchronized void close() {
     polling.dispose();
   }
 
+  /** Reads the leaving hosts once for each new list, since each placement asks for all runners. */
+  private void readHostList() {
+    List<HostListPort.Host> hosts = hostList.get();
+    if (hosts == seenHosts) {
+      return;
+    }
+    seenHosts = hosts;
+    health.leaving(
+        hosts.stream()
+            .filter(host -> host.state() == HostListPort.State.LEAVING)
+            .map(HostListPort.Host::name)
+            .collect(Collectors.toSet()));
+  }
+
   private Mono<Void> pollAll() {
-    return Flux.fromIterable(configuration.state().all(ConfigurationObject.Runner.class))
-        .flatMap(this::poll, POLLS_AT_ONCE)
-        .then();
+    return Flux.fromIterable(configured.get()).flatMap(this::poll, POLLS_AT_ONCE).then();
   }
 
-  private Mono<Void> poll(ConfigurationObject.Runner runner) {
+  /** Asks a runner, unless an earlier question is open: a slow runner must not hold up others. */
+  private Mono<Void> poll(Runner runner) {
+    if (!polled.add(runner.name())) {
+      return Mono.empty();
+    }
     return runners
         .load(runner.address())
         .doOnNext(answer -> answer.peek(load -> note(runner.name(), load)))
+        .doFinally(signal -> polled.remove(runner.name()))
         .then();
   }
 
   private synchronized void note(String runner, RunnerPort.Load load) {
-    loads.put(runner, load);
+    Instant now = clock.instant();
+    loads.put(runner, new LoadReport(load, now));
     if (load.isLeaving()) {
-      health.saidLeaving(runner, clock.instant());
+      health.saidLeaving(runner, now);
     }
   }
+
+  /**
+   * A runner's load as it arrived.
+   *
+   * @param load the load
+   * @param receivedAt when it arrived, by this node's clock
+   */
+  private record LoadReport(RunnerPort.Load load, Instant receivedAt) {}
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
@@ -124,7 +124,7 @@
     DrainController.Running running = drain.begin(requestId);
     return body(request)
         .flatMap(body -> answer(requestId, request, body))
-        .onErrorResume(error -> Mono.just(internal(requestId, error)))
+        .onErrorResume(error -> Mono.just(new Reply.Problem(internal(requestId, error))))
         .flatMap(reply -> Mono.from(write(requestId, response, reply)))
         .doFinally(signal -> running.close());
   }
@@ -206,38 +206,53 @@
     return Optional.ofNullable(request.requestHeaders().get(name));
   }
 
-  private Reply internal(String requestId, Throwable error) {
+  private static Refusal internal(String requestId, Throwable error) {
     LOGGER.error("request {} failed", requestId, error);
-    return new Reply.Problem(
-        Refusal.unknown(RefusalReason.INTERNAL, "a fault of the node, see its log"));
+    return Refusal.unknown(RefusalReason.INTERNAL, "a fault of the node, see its log");
   }
 
   private Publisher<Void> write(String requestId, HttpServerResponse response, Reply reply) {
     return switch (reply) {
       case Reply.Json json -> text(response, json.status(), "application/json", json.body());
-      case Reply.Stream stream -> stream(response, stream.events());
+      case Reply.Stream stream -> stream(requestId, response, stream.events());
       case Reply.Problem problem -> problem(requestId, response, problem.refusal());
     };
   }
 
-  private Publisher<Void> stream(HttpServerResponse response, Flux<String> events) {
+  /** Waits for the first event, so that an early failure still gets its own status. */
+  private Publisher<Void> stream(
+      String requestId, HttpServerResponse response, Flux<Reply.StreamEvent> events) {
+    return events
+        .onErrorResume(error -> Flux.just(new Reply.StreamEvent.Broken(internal(requestId, error))))
+        .switchOnFirst(
+            (first, all) ->
+                first.get() instanceof Reply.StreamEvent.Broken broken
+                    ? problem(requestId, response, broken.refusal())
+                    : send(requestId, response, all));
+  }
+
+  private Publisher<Void> send(
+      String requestId, HttpServerResponse response, Flux<Reply.StreamEvent> events) {
     response.status(200).header("Content-Type", "text/event-stream");
     response.header("Cache-Control", "no-store");
-    Flux<ByteBuf> data =
-        events.map(
-            event ->
-                Unpooled.wrappedBuffer(
-                    ("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8)));
-    return response.sendObject(data, buffer -> true);
+    return response.sendObject(events.map(event -> bytes(requestId, event)), buffer -> true);
+  }
+
+  private ByteBuf bytes(String requestId, Reply.StreamEvent event) {
+    String text =
+        switch (event) {
+          case Reply.StreamEvent.Data data -> "data: " + data.body() + "\n\n";
+          case Reply.StreamEvent.Whole whole -> "data: [DONE]\n\n";
+          case Reply.StreamEvent.Broken broken -> {
+            noteRefusal(requestId, broken.refusal());
+            yield "event: error\ndata: " + problemBody(requestId, broken.refusal()) + "\n\n";
+          }
+        };
+    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
   }
 
   private Publisher<Void> problem(String requestId, HttpServerResponse response, Refusal refusal) {
-    metrics.refused(refusal.reason());
-    LogEvent.of("request_refused")
-        .with("request", requestId)
-        .with("reason", refusal.reason().code())
-        .with("executed", refusal.execution().word())
-        .info(LOGGER);
+    noteRefusal(requestId, refusal);
     refusal
         .retryAfter()
         .ifPresent(time -> response.header("Retry-After", String.valueOf(seconds(time))));
@@ -248,6 +263,15 @@
         problemBody(requestId, refusal));
   }
 
+  private void noteRefusal(String requestId, Refusal refusal) {
+    metrics.refused(refusal.reason());
+    LogEvent.of("request_refused")
+        .with("request", requestId)
+        .with("reason", refusal.reason().code())
+        .with("executed", refusal.execution().word())
+        .info(LOGGER);
+  }
+
   /** Returns the RFC 9457 form of a refusal. */
   static String problemBody(String requestId, Refusal refusal) {
     ObjectNode body = Json.mapper().createObjectNode();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -4,9 +4,13 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Random;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.ConfigurationObject.Runner;
+import org.dragonflyhill.core.HedgeDelay;
 import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.core.RetryBudget;
 import org.dragonflyhill.platform.Closer;
 import org.dragonflyhill.platform.HttpCache;
 import org.dragonflyhill.platform.HttpCaller;
@@ -59,7 +63,10 @@
     var configuration = closer.add(new ConfigurationController(log, metrics));
     var claims = closer.add(new ClaimController(log, settings.node(), metrics));
     var membership = closer.add(new MembershipController(hostList, metrics));
-    var endpoints = closer.add(new EndpointController(configuration, membership, runners, clock));
+    var endpoints =
+        closer.add(
+            new EndpointController(
+                () -> configuration.state().all(Runner.class), membership::hosts, runners, clock));
     var cache = closer.add(new CacheController(configuration, caches, metrics));
 
     final var pieceKeys =
@@ -68,7 +75,17 @@
     final var placement = new PlacementController(configuration, endpoints, cache, pieceKeys);
     final var completions =
         new CompletionHandler(
-            configuration, endpoints, placement, runners, new CompletionRelay(), clock);
+            configuration,
+            new CompletionServices(
+                endpoints,
+                Placer.of(placement),
+                runners,
+                new RetryBudget(),
+                new HedgeDelay(),
+                metrics,
+                new Random(),
+                clock),
+            new CompletionRelay());
     final var services =
         new ServiceHandler(
             configuration, endpoints, new HttpService(endpointCaller, SERVICE_TIMEOUT), clock);
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Placer.java
@@ -0,0 +1,37 @@
+package org.dragonflyhill.daemon;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+import org.dragonflyhill.core.ConfigurationObject.Model;
+
+/** Chooses the place of each attempt of a completion. Thread-safe; nothing is null. */
+interface Placer {
+
+  /** Places an attempt, never on an excluded runner; see {@link PlacementController#place}. */
+  Optional<PlacementController.Placed> place(
+      RequestContext context, Model model, Call.Completion call, Set<String> excluded, Instant now);
+
+  /** Notes that a placed completion was served whole. */
+  void served(PlacementController.Placed placed);
+
+  /** Returns the placement of a node. */
+  static Placer of(PlacementController placement) {
+    return new Placer() {
+      @Override
+      public Optional<PlacementController.Placed> place(
+          RequestContext context,
+          Model model,
+          Call.Completion call,
+          Set<String> excluded,
+          Instant now) {
+        return placement.place(context, model, call, excluded, now);
+      }
+
+      @Override
+      public void served(PlacementController.Placed placed) {
+        placement.served(placed);
+      }
+    };
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Reply.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Reply.java
@@ -15,11 +15,34 @@
   record Json(int status, String body) implements Reply {}
 
   /**
-   * Server-sent events; an error of the flux cuts the connection without the final event.
+   * Server-sent events, written as they come. Where the first one is an error, nothing has been
+   * written yet and the caller gets a plain problem.
    *
-   * @param events the data of each event
+   * @param events the events; the last one is {@link StreamEvent.Whole} or {@link
+   *     StreamEvent.Broken}
    */
-  record Stream(Flux<String> events) implements Reply {}
+  record Stream(Flux<StreamEvent> events) implements Reply {}
+
+  /** One event of a streamed answer. */
+  sealed interface StreamEvent {
+
+    /**
+     * A part of the answer.
+     *
+     * @param body JSON text
+     */
+    record Data(String body) implements StreamEvent {}
+
+    /** Says that the answer is whole. */
+    record Whole() implements StreamEvent {}
+
+    /**
+     * Says that no more of the answer will come.
+     *
+     * @param refusal why
+     */
+    record Broken(Refusal refusal) implements StreamEvent {}
+  }
 
   /**
    * An error, as RFC 9457 problem JSON.
--- /dev/null
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/StreamProofTest.java
@@ -0,0 +1,154 @@
+package org.dragonflyhill.proofs;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.standins.RunnerStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Proofs that every caller gets the whole answer to its own request, or an explicit error. */
+public final class StreamProofTest {
+
+  private static final String PROMISE = "4 whole answer to the right caller";
+  private static final int CALLERS = 6;
+  private static final int TOKENS = 60;
+
+  private final Random random = Proof.random("StreamProofTest");
+  private Deployment deployment;
+  private ProcessHelper node;
+  private ExecutorService callers;
+
+  /** Starts three runners and a node. */
+  @BeforeMethod
+  public void start() {
+    deployment = new Deployment(3);
+    assertEquals(deployment.apply().exitCode(), 0);
+    node = deployment.startNode("node-a");
+    callers = Executors.newFixedThreadPool(CALLERS);
+  }
+
+  /** Ends all processes. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    callers.shutdownNow();
+    deployment.close();
+  }
+
+  @Test
+  public void dropsDuplicatedChunks() {
+    allRunners("{\"duplicate_every\":3}");
+    report("duplicated chunks", ask(true));
+  }
+
+  @Test
+  public void dropsLateChunks() {
+    allRunners("{\"late_every\":4}");
+    report("late chunks", ask(true));
+  }
+
+  @Test
+  public void resumesAfterChunkOfAnotherRequest() {
+    allRunners("{\"crossed_every\":9,\"faulty_completions\":2}");
+    report("crossed chunks", ask(true));
+  }
+
+  @Test
+  public void resumesAfterGap() {
+    allRunners("{\"gap_every\":7,\"faulty_completions\":2}");
+    report("lost chunks", ask(true));
+  }
+
+  @Test
+  public void resumesCutStream() {
+    allRunners("{\"cut_after_tokens\":5,\"faulty_completions\":2}");
+    report("cut streams", ask(true));
+  }
+
+  @Test
+  public void throwsAwayAnswerOfAnotherWeightVersion() {
+    deployment.faults(deployment.runners.getFirst(), "{\"wrong_weight_version\":true}");
+    report("one runner answers under another weight version", ask(true));
+  }
+
+  @Test
+  public void resumesElsewhereWhenRunnerIsKilled() throws Exception {
+    allRunners("{\"token_delay_millis\":20}");
+    Future<Integer> violations = Executors.newSingleThreadExecutor().submit(() -> ask(true));
+    org.awaitility.Awaitility.await()
+        .until(() -> !deployment.records(deployment.runners.getFirst()).isEmpty());
+    Thread.sleep(200 + random.nextInt(400));
+    deployment.runners.getFirst().kill();
+    report("runner killed in the middle of streams", violations.get());
+  }
+
+  @Test
+  public void neverEndsCutStreamAsWhole() {
+    allRunners("{\"cut_after_tokens\":5}");
+    HttpResponse<String> answer = deployment.complete(node, "cut for good", TOKENS, true);
+    int violations = answer.body().contains("[DONE]") ? 1 : 0;
+    Proof.report(PROMISE, "every stream is cut (streamed answer)", 1, 1, violations);
+    assertTrue(answer.body().contains("event: error"), answer.body());
+  }
+
+  @Test
+  public void answersCutStreamWithProblem() {
+    allRunners("{\"cut_after_tokens\":5}");
+    HttpResponse<String> answer = deployment.complete(node, "cut for good", TOKENS, false);
+    int violations = answer.statusCode() == 200 ? 1 : 0;
+    Proof.report(PROMISE, "every stream is cut (plain answer)", 1, 1, violations);
+    assertEquals(answer.statusCode(), 502, answer.body());
+  }
+
+  private void allRunners(String faults) {
+    deployment.runners.forEach(runner -> deployment.faults(runner, faults));
+  }
+
+  private void report(String failure, int violations) {
+    Proof.report(PROMISE, failure, 1, CALLERS, violations);
+  }
+
+  /** Asks with a prompt for each caller, side by side; returns how many answers were wrong. */
+  private int ask(boolean isStreamed) {
+    long salt = random.nextLong();
+    List<Callable<Boolean>> calls =
+        java.util.stream.IntStream.range(0, CALLERS)
+            .<Callable<Boolean>>mapToObj(i -> () -> isWhole("prompt " + salt + i, isStreamed))
+            .toList();
+    try {
+      int violations = 0;
+      for (Future<Boolean> call : callers.invokeAll(calls)) {
+        violations += call.get() ? 0 : 1;
+      }
+      return violations;
+    } catch (InterruptedException | java.util.concurrent.ExecutionException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private boolean isWhole(String prompt, boolean isStreamed) {
+    HttpResponse<String> answer = deployment.complete(node, prompt, TOKENS, isStreamed);
+    return answer.statusCode() == 200
+        && answer.body().endsWith("data: [DONE]\n\n")
+        && text(answer.body()).equals(RunnerStandin.text(prompt, "v1", TOKENS));
+  }
+
+  private static String text(String events) {
+    StringBuilder text = new StringBuilder();
+    events
+        .lines()
+        .filter(line -> line.startsWith("data: {"))
+        .map(line -> Json.readTree(line.substring("data: ".length())).get())
+        .forEach(event -> text.append(event.at("/choices/0/text").asText()));
+    return text.toString();
+  }
+}
--- a/standins/src/main/java/org/dragonflyhill/standins/Faults.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Faults.java
@@ -17,6 +17,13 @@
  * @param wrongWeightVersion whether completions carry another weight version than asked for
  * @param truncateReads whether pieces are returned without their last byte
  * @param ignoreFencing whether orders with an old fencing token are taken
+ * @param duplicateEvery one of this many chunks is sent twice, 0 for none
+ * @param lateEvery with one of this many chunks an earlier one comes again, 0 for none
+ * @param crossedEvery before one of this many chunks comes one of another request, 0 for none
+ * @param gapEvery one of this many chunks is left out, 0 for none
+ * @param faultyCompletions number of next completions whose streams are faulty, 0 for all
+ * @param tokenDelayMillis further time of each generated token, in milliseconds
+ * @param isLeaving whether the runner says that it is leaving and refuses new completions
  */
 public record Faults(
     long delayMillis,
@@ -30,8 +37,16 @@
     int cutAfterTokens,
     boolean wrongWeightVersion,
     boolean truncateReads,
-    boolean ignoreFencing) {
+    boolean ignoreFencing,
+    int duplicateEvery,
+    int lateEvery,
+    int crossedEvery,
+    int gapEvery,
+    int faultyCompletions,
+    long tokenDelayMillis,
+    boolean isLeaving) {
 
   /** No failure. */
-  public static final Faults NONE = new Faults(0, 0, 0, 0, 0, 0, 0, false, 0, false, false, false);
+  public static final Faults NONE =
+      new Faults(0, 0, 0, 0, 0, 0, 0, false, 0, false, false, false, 0, 0, 0, 0, 0, 0, false);
 }
--- a/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
@@ -29,6 +29,7 @@
   private final Engine engine;
   private final CacheRoutes cache;
   private final Semaphore slots;
+  private final StreamFaults streamFaults = new StreamFaults();
   private final AtomicInteger queued = new AtomicInteger();
   private final AtomicLong queuedTokens = new AtomicLong();
   private final Supplier<Faults> faults;
@@ -57,7 +58,10 @@
   public Mono<StandinReply> handle(StandinRequest request) {
     return switch (request.method() + " " + request.path()) {
       case "POST /v1/completions" ->
-          Mono.just(complete(request.read(RunnerPort.CompletionRequest.class)));
+          Mono.just(
+              faults.get().isLeaving()
+                  ? StandinReply.text(503, HttpRunner.LEAVING_BODY)
+                  : complete(request.read(RunnerPort.CompletionRequest.class)));
       case "GET /load" -> Mono.just(StandinReply.json(load()));
       default -> cache.handle(request);
     };
@@ -65,7 +69,8 @@
 
   private RunnerPort.Load load() {
     int running = engine.slots() - slots.availablePermits();
-    return new RunnerPort.Load(running, queued.get(), queuedTokens.get(), clock.millis(), false);
+    return new RunnerPort.Load(
+        running, queued.get(), queuedTokens.get(), clock.millis(), faults.get().isLeaving());
   }
 
   private StandinReply complete(RunnerPort.CompletionRequest request) {
@@ -74,8 +79,8 @@
     queuedTokens.addAndGet(promptTokens);
     Flux<Optional<String>> events =
         slot()
-            .doOnTerminate(
-                () -> {
+            .doFinally(
+                signal -> {
                   queued.decrementAndGet();
                   queuedTokens.addAndGet(-promptTokens);
                 })
@@ -107,7 +112,8 @@
             request.weightVersion(),
             promptTokens,
             prepared.cachedTokens(),
-            request.resumeOffset()));
+            request.resumeOffset(),
+            clock.millis()));
     return Mono.delay(time)
         .doOnNext(done -> cache.computed(request))
         .thenMany(tokens(request, promptTokens, prepared));
@@ -115,14 +121,16 @@
 
   private Flux<Optional<String>> tokens(
       RunnerPort.CompletionRequest request, long promptTokens, CacheRoutes.Prepared prepared) {
-    Faults now = faults.get();
+    Faults now = streamFaults.next(faults.get());
     String version =
         now.wrongWeightVersion() ? request.weightVersion() + "-other" : request.weightVersion();
     int total = request.maxTokens();
+    Duration tokenTime = engine.tokenTime().plusMillis(now.tokenDelayMillis());
     Flux<Optional<String>> chunks =
         Flux.range(request.resumeOffset(), Math.max(0, total - request.resumeOffset()))
-            .concatMap(index -> Mono.just(index).delayElement(engine.tokenTime()), 1)
-            .map(index -> Optional.of(chunk(request, version, index)));
+            .concatMap(index -> Mono.just(index).delayElement(tokenTime), 1)
+            .concatMapIterable(index -> streamFaults.chunks(now, request, version, index))
+            .map(chunk -> Optional.of(message(chunk)));
     if (now.cutAfterTokens() > 0) {
       return chunks.take(now.cutAfterTokens()).concatWith(Flux.just(Optional.empty()));
     }
@@ -139,10 +147,7 @@
             Optional.of(Json.write(new HttpRunner.Message(Optional.empty(), Optional.of(end))))));
   }
 
-  private static String chunk(RunnerPort.CompletionRequest request, String version, int index) {
-    var chunk =
-        new RunnerPort.Event.Chunk(
-            request.requestId(), index, 1, word(request.prompt(), version, index), version);
+  private static String message(RunnerPort.Event.Chunk chunk) {
     return Json.write(new HttpRunner.Message(Optional.of(chunk), Optional.empty()));
   }
 
@@ -187,6 +192,7 @@
    * @param promptTokens tokens of the prompt
    * @param cachedTokens prompt tokens that were not computed
    * @param resumeOffset tokens of the answer that the caller already had
+   * @param atMillis time of the start, milliseconds since the epoch
    */
   public record Completed(
       String requestId,
@@ -194,5 +200,6 @@
       String weightVersion,
       long promptTokens,
       long cachedTokens,
-      int resumeOffset) {}
+      int resumeOffset,
+      long atMillis) {}
 }
