--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -4,10 +4,14 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Random;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflyhill.core.ClaimWindow;
+import org.dragonflyhill.core.ConfigurationObject.Runner;
+import org.dragonflyhill.core.HedgeDelay;
 import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.core.RetryBudget;
 import org.dragonflyhill.peer.PeerHandler;
 import org.dragonflyhill.platform.Closer;
 import org.dragonflyhill.platform.HttpCache;
@@ -75,7 +79,10 @@
                 metrics,
                 clock));
     var membership = closer.add(new MembershipController(hostList, metrics));
-    var endpoints = closer.add(new EndpointController(configuration, membership, runners, clock));
+    var endpoints =
+        closer.add(
+            new EndpointController(
+                () -> configuration.state().all(Runner.class), membership::hosts, runners, clock));
     var cache = closer.add(new CacheController(configuration, caches, metrics));
 
     var monotonicClock = new MonotonicClock();
@@ -133,7 +140,17 @@
             configuration, endpoints, cache, storeIndex, exports, links, metrics, pieceKeys);
     final var completions =
         new CompletionHandler(
-            configuration, endpoints, placement, runners, new CompletionRelay(), clock);
+            configuration,
+            new CompletionServices(
+                endpoints,
+                Placer.of(placement),
+                runners,
+                new RetryBudget(),
+                new HedgeDelay(),
+                metrics,
+                new Random(),
+                clock),
+            new CompletionRelay());
     final var services =
         new ServiceHandler(
             configuration, endpoints, new HttpService(serviceCaller, SERVICE_TIMEOUT), clock);
--- a/standins/src/main/java/org/dragonflyhill/standins/Faults.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Faults.java
@@ -26,6 +26,13 @@
  *     that it says it makes
  * @param reportNoImportCheck whether a runner says that it checks no imports
  * @param evictBeforePrefill whether a runner empties its cache when a completion gets its slot
+ * @param duplicateEvery one of this many chunks is sent twice, 0 for none
+ * @param lateEvery with one of this many chunks an earlier one comes again, 0 for none
+ * @param crossedEvery before one of this many chunks comes one of another request, 0 for none
+ * @param gapEvery one of this many chunks is left out, 0 for none
+ * @param faultyCompletions number of next completions whose streams are faulty, 0 for all
+ * @param tokenDelayMillis further time of each generated token, in milliseconds
+ * @param isLeaving whether the runner says that it is leaving and refuses new completions
  */
 public record Faults(
     long delayMillis,
@@ -46,11 +53,18 @@
     boolean corruptReads,
     boolean skipImportCheck,
     boolean reportNoImportCheck,
-    boolean evictBeforePrefill) {
+    boolean evictBeforePrefill,
+    int duplicateEvery,
+    int lateEvery,
+    int crossedEvery,
+    int gapEvery,
+    int faultyCompletions,
+    long tokenDelayMillis,
+    boolean isLeaving) {
 
   /** No failure. */
   public static final Faults NONE =
       new Faults(
           0, 0, 0, 0, 0, 0, 0, false, 0, false, false, false, false, 0, false, false, false, false,
-          false);
+          false, 0, 0, 0, 0, 0, 0, false);
 }
--- a/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
@@ -30,6 +30,7 @@
   private final CacheRoutes cache;
   private final OrderRoutes orders;
   private final Semaphore slots;
+  private final StreamFaults streamFaults = new StreamFaults();
   private final AtomicInteger queued = new AtomicInteger();
   private final AtomicLong queuedTokens = new AtomicLong();
   private final Supplier<Faults> faults;
@@ -62,7 +63,10 @@
     }
     return switch (request.method() + " " + request.path()) {
       case "POST /v1/completions" ->
-          Mono.just(complete(request.read(RunnerPort.CompletionRequest.class)));
+          Mono.just(
+              faults.get().isLeaving()
+                  ? StandinReply.text(503, HttpRunner.LEAVING_BODY)
+                  : complete(request.read(RunnerPort.CompletionRequest.class)));
       case "GET /load" -> Mono.just(StandinReply.json(load()));
       default -> cache.handle(request);
     };
@@ -70,7 +74,8 @@
 
   private RunnerPort.Load load() {
     int running = engine.slots() - slots.availablePermits();
-    return new RunnerPort.Load(running, queued.get(), queuedTokens.get(), clock.millis(), false);
+    return new RunnerPort.Load(
+        running, queued.get(), queuedTokens.get(), clock.millis(), faults.get().isLeaving());
   }
 
   private StandinReply complete(RunnerPort.CompletionRequest request) {
@@ -79,8 +84,8 @@
     queuedTokens.addAndGet(promptTokens);
     Flux<Optional<String>> events =
         slot()
-            .doOnTerminate(
-                () -> {
+            .doFinally(
+                signal -> {
                   queued.decrementAndGet();
                   queuedTokens.addAndGet(-promptTokens);
                 })
@@ -112,7 +117,8 @@
             request.weightVersion(),
             promptTokens,
             prepared.cachedTokens(),
-            request.resumeOffset()));
+            request.resumeOffset(),
+            clock.millis()));
     return Mono.delay(time)
         .doOnNext(done -> cache.computed(request))
         .thenMany(tokens(request, promptTokens, prepared));
@@ -120,14 +126,16 @@
 
   private Flux<Optional<String>> tokens(
       RunnerPort.CompletionRequest request, long promptTokens, CacheRoutes.Prepared prepared) {
-    Faults now = faults.get();
+    Faults now = streamFaults.next(faults.get());
     String version =
         now.wrongWeightVersion() ? request.weightVersion() + "-other" : request.weightVersion();
     int total = request.maxTokens();
+    Duration tokenTime = engine.tokenTime().plusMillis(now.tokenDelayMillis());
     Flux<Optional<String>> chunks =
         Flux.range(request.resumeOffset(), Math.max(0, total - request.resumeOffset()))
-            .concatMap(index -> Mono.just(index).delayElement(engine.tokenTime()), 1)
-            .map(index -> Optional.of(chunk(request, version, index)));
+            .concatMap(index -> Mono.just(index).delayElement(tokenTime), 1)
+            .concatMapIterable(index -> streamFaults.chunks(now, request, version, index))
+            .map(chunk -> Optional.of(message(chunk)));
     if (now.cutAfterTokens() > 0) {
       return chunks.take(now.cutAfterTokens()).concatWith(Flux.just(Optional.empty()));
     }
@@ -144,10 +152,7 @@
             Optional.of(Json.write(new HttpRunner.Message(Optional.empty(), Optional.of(end))))));
   }
 
-  private static String chunk(RunnerPort.CompletionRequest request, String version, int index) {
-    var chunk =
-        new RunnerPort.Event.Chunk(
-            request.requestId(), index, 1, word(request.prompt(), version, index), version);
+  private static String message(RunnerPort.Event.Chunk chunk) {
     return Json.write(new HttpRunner.Message(Optional.of(chunk), Optional.empty()));
   }
 
@@ -197,6 +202,7 @@
    * @param promptTokens tokens of the prompt
    * @param cachedTokens prompt tokens that were not computed
    * @param resumeOffset tokens of the answer that the caller already had
+   * @param atMillis time of the start, milliseconds since the epoch
    */
   public record Completed(
       String requestId,
@@ -204,5 +210,6 @@
       String weightVersion,
       long promptTokens,
       long cachedTokens,
-      int resumeOffset) {}
+      int resumeOffset,
+      long atMillis) {}
 }
