Replay traces through placement policies side by side

Cause: nothing measured the placement, so no choice in it could be shown to help. Ruled out: a cluster simulator, which the users do not want; shrinking the gaps of a trace, which would let runner caches last longer than they do. Change: trace format and generator for both deployments, an event loop over small fakes, late views of several nodes, six policies, faults, scripts/measure. LoadEstimate in core tells the wait at a runner from its last report and what the node sent since. The fake now imports once a slot is held, as engines do, and keeps the pieces of running requests.

--- /dev/null
+++ b/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
@@ -0,0 +1,50 @@
+package org.dragonflyhill.core;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.testng.annotations.Test;
+
+/** Tests of {@link LoadEstimate}. */
+public final class LoadEstimateTest {
+
+  private static final Instant START = Instant.ofEpochSecond(1_000);
+  private static final Duration SLOT_TIME = Duration.ofSeconds(4);
+
+  private static LoadEstimate reported(int running, int queued, long tokens) {
+    LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(2, 1_000));
+    load.report(new LoadEstimate.Report(running, queued, tokens, START));
+    return load;
+  }
+
+  @Test
+  public void reportedTokensDrainWithTime() {
+    LoadEstimate load = reported(0, 0, 3_000);
+    Duration wait = load.queueWait(false, SLOT_TIME, START.plusSeconds(1));
+    assertEquals(wait, Duration.ofSeconds(2));
+  }
+
+  @Test
+  public void whatWasSentSinceTheReportCounts() {
+    LoadEstimate load = reported(0, 0, 1_000);
+    load.sent(2_000, false, START.plusSeconds(1));
+    Duration wait = load.queueWait(false, SLOT_TIME, START.plusSeconds(1));
+    assertEquals(wait, Duration.ofSeconds(2));
+  }
+
+  @Test
+  public void newerReportReplacesWhatWasSentBefore() {
+    LoadEstimate load = reported(0, 0, 1_000);
+    load.sent(2_000, false, START.plusSeconds(1));
+    load.report(new LoadEstimate.Report(0, 0, 500, START.plusSeconds(2)));
+    Duration wait = load.queueWait(false, SLOT_TIME, START.plusSeconds(2));
+    assertEquals(wait, Duration.ofMillis(500));
+  }
+
+  @Test
+  public void urgentWorkDoesNotWaitForOrdinaryPrefill() {
+    LoadEstimate load = reported(0, 0, 5_000);
+    assertEquals(load.queueWait(true, SLOT_TIME, START), Duration.ZERO);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/KeepDecision.java
@@ -0,0 +1,26 @@
+package org.dragonflyhill.standins.replay;
+
+/** Which pieces are exported to a store once computed. Variants are stateless. */
+public sealed interface KeepDecision {
+
+  /** Returns whether to export a piece that so many stores hold, over a link with such a wait. */
+  boolean isExported(int copies, long linkWaitMicros);
+
+  /** Exports nothing. */
+  record Nothing() implements KeepDecision {
+    @Override
+    public boolean isExported(int copies, long linkWaitMicros) {
+      return false;
+    }
+  }
+
+  /** Exports what no store holds, while the link has time for it. */
+  record Unkept() implements KeepDecision {
+    private static final long MAX_LINK_WAIT_MICROS = 500_000;
+
+    @Override
+    public boolean isExported(int copies, long linkWaitMicros) {
+      return copies == 0 && linkWaitMicros < MAX_LINK_WAIT_MICROS;
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/LinkView.java
@@ -0,0 +1,38 @@
+package org.dragonflyhill.standins.replay;
+
+/**
+ * What a node knows of a store's link: its last report and what the node itself imported since.
+ *
+ * <p>Not thread-safe.
+ */
+final class LinkView {
+
+  private long bytesPerSecond;
+  private long freeAtMicros;
+  private long reportedAtMicros;
+
+  /** Creates the view of an idle link. */
+  LinkView(long bytesPerSecond) {
+    this.bytesPerSecond = bytesPerSecond;
+  }
+
+  void reported(long bandwidth, long waitMicros, long atMicros) {
+    if (atMicros >= reportedAtMicros) {
+      bytesPerSecond = bandwidth;
+      freeAtMicros = atMicros + waitMicros;
+      reportedAtMicros = atMicros;
+    }
+  }
+
+  void importing(long bytes, long nowMicros) {
+    freeAtMicros = Math.max(freeAtMicros, nowMicros) + bytes * 1_000_000 / bytesPerSecond;
+  }
+
+  long bytesPerSecond() {
+    return bytesPerSecond;
+  }
+
+  long waitMicros(long nowMicros) {
+    return Math.max(0, freeAtMicros - nowMicros);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
@@ -0,0 +1,155 @@
+package org.dragonflyhill.standins.replay;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.SettingSpec;
+import org.dragonflyhill.platform.SettingValues;
+
+/** The program behind {@code scripts/measure}: replays traces and prints a table. */
+public final class MeasureMain {
+
+  private static final int EXIT_USAGE = 2;
+  private static final double[] LOADS = {0.5, 0.8, 1.0, 1.3};
+  private static final double FAULT_LOAD = 0.8;
+  private static final List<String> QUICK_FAULT_POLICIES = List.of("former", "product");
+  private static final List<SettingSpec> SPECS =
+      List.of(
+          SettingSpec.optional("deployment", "", "riquelme or strunova, both if not given"),
+          SettingSpec.optional("seed", "1", "seed of traces and replays"),
+          SettingSpec.optional("trace", "", "file of JSON lines to replay instead"),
+          SettingSpec.optional("measure-from", "0", "first second of that file which is measured"),
+          SettingSpec.optional("peak-seconds", "0", "peak of that file, in seconds"),
+          SettingSpec.optional("write-trace", "", "file to write the 80 % trace to, and end"),
+          SettingSpec.optional("out", "target/measure.jsonl", "file of JSON lines to write"),
+          SettingSpec.optional("plots", "", "folder to write plots to"));
+
+  private final int seed;
+  private final TraceGenerator.Shape shape;
+  private final List<Row> rows = new ArrayList<>();
+
+  private MeasureMain(int seed, TraceGenerator.Shape shape) {
+    this.seed = seed;
+    this.shape = shape;
+  }
+
+  /** Runs {@code quick} or {@code full}, the first argument. */
+  public static void main(String[] args) throws IOException {
+    boolean isSuite = args.length > 0 && List.of("quick", "full").contains(args[0]);
+    boolean isFull = isSuite && args[0].equals("full");
+    String[] flags = Arrays.copyOfRange(args, isSuite ? 1 : 0, args.length);
+    SettingValues values = SettingValues.read(SPECS, flags, System.getenv());
+    int seed = values.integer("seed", 0, Integer.MAX_VALUE);
+    List<Deployment> deployments = deployments(values);
+    if (values.isHelpWanted()) {
+      System.out.print(SettingValues.help("scripts/measure [quick|full]", SPECS));
+      return;
+    }
+    if (!values.faults().isEmpty()) {
+      values.faults().forEach(fault -> System.err.println("measure: " + fault));
+      System.exit(EXIT_USAGE);
+    }
+    var shape = new TraceGenerator.Shape(Duration.ofSeconds(isFull ? 180 : 60), isFull ? 2 : 1);
+    MeasureMain measure = new MeasureMain(seed, shape);
+    Optional<String> toWrite = values.optionalText("write-trace");
+    if (toWrite.isPresent()) {
+      measure.trace(deployments.getFirst(), FAULT_LOAD).write(Path.of(toWrite.get()));
+      return;
+    }
+    Optional<String> file = values.optionalText("trace");
+    if (file.isPresent()) {
+      measure.recorded(deployments.getFirst(), Path.of(file.get()), values);
+    } else {
+      deployments.forEach(measure::generated);
+    }
+    measure.write(Path.of(values.text("out")));
+    Optional<String> plots = values.optionalText("plots");
+    if (plots.isPresent()) {
+      Plots.write(measure.rows, Path.of(plots.get()));
+    }
+  }
+
+  private static List<Deployment> deployments(SettingValues values) {
+    List<Deployment> all = List.of(Deployment.RIQUELME, Deployment.STRUNOVA);
+    Optional<String> name = values.optionalText("deployment");
+    List<Deployment> chosen =
+        all.stream().filter(one -> name.isEmpty() || one.name().equals(name.get())).toList();
+    if (chosen.isEmpty()) {
+      values.fault("deployment", "expected riquelme or strunova");
+    }
+    return chosen;
+  }
+
+  private void generated(Deployment deployment) {
+    System.out.printf(
+        Locale.ROOT,
+        "%n%s: capacity %.1f requests/s, seed %d, peaks %d x %d s%n%s%n",
+        deployment.name(),
+        TraceGenerator.capacity(deployment),
+        seed,
+        shape.peaks(),
+        shape.peak().toSeconds(),
+        Table.HEADER);
+    for (double load : LOADS) {
+      Trace trace = trace(deployment, load);
+      Policy.all().forEach(policy -> replay(deployment, policy, trace, load, Fault.NONE));
+    }
+    Trace trace = trace(deployment, FAULT_LOAD);
+    for (Fault fault : Fault.values()) {
+      if (fault != Fault.NONE) {
+        faultPolicies().forEach(policy -> replay(deployment, policy, trace, FAULT_LOAD, fault));
+      }
+    }
+  }
+
+  private List<Policy> faultPolicies() {
+    boolean isFull = shape.peaks() > 1;
+    return isFull
+        ? Policy.all()
+        : Policy.all().stream().filter(one -> QUICK_FAULT_POLICIES.contains(one.name())).toList();
+  }
+
+  private void recorded(Deployment deployment, Path file, SettingValues values) {
+    long from = 1_000L * values.integer("measure-from", 0, Integer.MAX_VALUE);
+    Either<String, Trace> trace = Trace.read(file, from);
+    if (trace.isLeft()) {
+      System.err.println("measure: " + trace.getLeft());
+      System.exit(EXIT_USAGE);
+    }
+    int peak = values.integer("peak-seconds", 0, Integer.MAX_VALUE);
+    List<TraceRequest> requests = trace.get().requests();
+    long last = requests.isEmpty() ? 0 : requests.getLast().arrivalMillis();
+    Duration length = peak > 0 ? Duration.ofSeconds(peak) : Duration.ofMillis(last - from + 1);
+    var recorded = new MeasureMain(seed, new TraceGenerator.Shape(length, 1));
+    System.out.println(Table.HEADER);
+    Policy.all().forEach(policy -> recorded.replay(deployment, policy, trace.get(), 0, Fault.NONE));
+    rows.addAll(recorded.rows);
+  }
+
+  private Trace trace(Deployment deployment, double load) {
+    return new TraceGenerator(deployment, shape, new Random(seed)).generate(load);
+  }
+
+  private void replay(Deployment deployment, Policy policy, Trace trace, double load, Fault fault) {
+    var setting = new Row.Setting(deployment.name(), policy.name(), load, fault.label());
+    Row row = new Replay(deployment, policy, trace, shape, fault, new Random(seed)).run(setting);
+    System.out.println(Table.line(row));
+    rows.add(row);
+  }
+
+  private void write(Path file) throws IOException {
+    if (file.getParent() != null) {
+      Files.createDirectories(file.getParent());
+    }
+    Files.write(file, rows.stream().map(Json::write).toList());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/NodeView.java
@@ -0,0 +1,160 @@
+package org.dragonflyhill.standins.replay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.dragonflyhill.core.LoadEstimate;
+import org.dragonflyhill.core.PieceIndex;
+
+/**
+ * What one node knows of runners and stores: late, in part lost, and what it did itself.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+final class NodeView {
+
+  private static final Duration SLOT_TIME = Duration.ofSeconds(3);
+  private static final double SLOT_TIME_WEIGHT = 0.05;
+
+  private final String zone;
+  private final PieceIndex index = new PieceIndex();
+  private final List<LoadEstimate> estimates = new ArrayList<>();
+  private final List<FakeRunner.Load> loads = new ArrayList<>();
+  private final List<LinkView> links = new ArrayList<>();
+  private final int[] inFlight;
+  private final Set<Integer> unusable = new HashSet<>();
+  private final Set<Integer> lostStores = new HashSet<>();
+  private final OrganisationUse use = new OrganisationUse();
+  private Duration slotTime = SLOT_TIME;
+  private int turn;
+
+  /** Creates the view of a node that knows nothing yet. */
+  NodeView(String zone, Deployment deployment) {
+    this.zone = zone;
+    Deployment.Engine engine = deployment.engine();
+    var speed = new LoadEstimate.Speed(engine.slots(), engine.prefillTokensPerSecond());
+    for (int runner = 0; runner < deployment.runners(); runner++) {
+      estimates.add(new LoadEstimate(speed));
+      loads.add(new FakeRunner.Load(0, 0, 0, 0));
+    }
+    inFlight = new int[deployment.runners()];
+    for (int store = 0; store < deployment.stores(); store++) {
+      links.add(new LinkView(deployment.storeLinkBytesPerSecond()));
+    }
+  }
+
+  String zone() {
+    return zone;
+  }
+
+  OrganisationUse use() {
+    return use;
+  }
+
+  /** Returns the number of the next turn, for taking endpoints one after another. */
+  int nextTurn() {
+    return turn++;
+  }
+
+  boolean isUsable(int runner) {
+    return !unusable.contains(runner);
+  }
+
+  boolean isStoreUsable(int store) {
+    return !lostStores.contains(store);
+  }
+
+  FakeRunner.Load load(int runner) {
+    return loads.get(runner);
+  }
+
+  int inFlight(int runner) {
+    return inFlight[runner];
+  }
+
+  /** Returns the expected wait at a runner, in microseconds. */
+  Duration queueWait(int runner, boolean isUrgent, long nowMicros) {
+    return estimates.get(runner).queueWait(isUrgent, slotTime, instant(nowMicros));
+  }
+
+  /** Returns how many leading pieces a holder probably has, from an index on. */
+  int pieces(String holder, List<String> pieces, int from) {
+    int index = from;
+    while (index < pieces.size() && this.index.holds(holder, pieces.get(index))) {
+      index++;
+    }
+    return index;
+  }
+
+  boolean holds(String holder, String piece) {
+    return index.holds(holder, piece);
+  }
+
+  void reported(int runner, FakeRunner.Load load) {
+    loads.set(runner, load);
+    estimates
+        .get(runner)
+        .report(
+            new LoadEstimate.Report(
+                load.running(), load.queued(), load.queuedTokens(), instant(load.atMicros())));
+  }
+
+  void sent(int runner, long computeTokens, boolean isUrgent, long nowMicros) {
+    inFlight[runner]++;
+    estimates.get(runner).sent(computeTokens, isUrgent, instant(nowMicros));
+  }
+
+  /** Notes for how long a request held its slot. */
+  void slotHeld(long micros) {
+    double nanos = slotTime.toNanos() * (1 - SLOT_TIME_WEIGHT) + micros * 1e3 * SLOT_TIME_WEIGHT;
+    slotTime = Duration.ofNanos((long) nanos);
+  }
+
+  void linkReported(int store, long bytesPerSecond, long waitMicros, long atMicros) {
+    links.get(store).reported(bytesPerSecond, waitMicros, atMicros);
+  }
+
+  void importing(int store, long bytes, long nowMicros) {
+    links.get(store).importing(bytes, nowMicros);
+  }
+
+  /** Returns the bandwidth of a store's link as last reported. */
+  long linkBytesPerSecond(int store) {
+    return links.get(store).bytesPerSecond();
+  }
+
+  /** Returns the expected wait for a store's link, in microseconds. */
+  long linkWaitMicros(int store, long nowMicros) {
+    return links.get(store).waitMicros(nowMicros);
+  }
+
+  void ended(int runner) {
+    inFlight[runner]--;
+  }
+
+  void holderChanged(String holder, List<String> added, List<String> removed) {
+    added.forEach(piece -> index.add(holder, piece));
+    removed.forEach(piece -> index.remove(holder, piece));
+  }
+
+  void resynced(String holder, List<String> contents) {
+    index.replace(holder, contents);
+  }
+
+  void runnerLost(int runner, String name) {
+    unusable.add(runner);
+    index.forget(name);
+  }
+
+  void storeLost(int store, String name) {
+    lostStores.add(store);
+    index.forget(name);
+  }
+
+  private static Instant instant(long micros) {
+    return Instant.ofEpochSecond(micros / 1_000_000, micros % 1_000_000 * 1_000);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/OrganisationUse.java
@@ -0,0 +1,36 @@
+package org.dragonflyhill.standins.replay;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Work that a node admitted for each organisation, the older work counting less.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+final class OrganisationUse {
+
+  private static final double HALF_LIFE_MICROS = 10e6;
+
+  private final Map<String, Double> tokens = new HashMap<>();
+  private long atMicros;
+
+  /** Notes admitted work. */
+  void admitted(String organisation, double work, long nowMicros) {
+    decay(nowMicros);
+    tokens.merge(organisation, work, Double::sum);
+  }
+
+  /** Returns the use of an organisation, 1 being an equal share of that of all. */
+  double partOfFairShare(String organisation, long nowMicros) {
+    decay(nowMicros);
+    double all = tokens.values().stream().mapToDouble(Double::doubleValue).sum();
+    return all == 0 ? 0 : tokens.getOrDefault(organisation, 0.0) * tokens.size() / all;
+  }
+
+  private void decay(long nowMicros) {
+    double factor = Math.pow(0.5, (nowMicros - atMicros) / HALF_LIFE_MICROS);
+    tokens.replaceAll((organisation, work) -> work * factor);
+    atMicros = nowMicros;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Policy.java
@@ -0,0 +1,46 @@
+package org.dragonflyhill.standins.replay;
+
+import java.util.List;
+
+/**
+ * What decides about the requests of a replay.
+ *
+ * <p>Immutable and thread-safe; no component is null.
+ *
+ * @param name name in tables
+ * @param routing how a runner is chosen
+ * @param admission when a request is refused
+ * @param keep which pieces are exported
+ */
+public record Policy(
+    String name, RoutingPolicy routing, AdmissionPolicy admission, KeepDecision keep) {
+
+  /** The policies that are compared, the rivals first and the bound last. */
+  public static List<Policy> all() {
+    return List.of(
+        rival("round_robin", new RoutingPolicy.RoundRobin()),
+        rival("least_loaded", new RoutingPolicy.LeastLoaded()),
+        rival("prefix_affinity", new RoutingPolicy.PrefixAffinity()),
+        rival("former", new RoutingPolicy.Former()),
+        product(),
+        new Policy(
+            "offline_bound",
+            new RoutingPolicy.OfflineBound(),
+            new AdmissionPolicy.EarlyRefusal(),
+            new KeepDecision.Nothing()));
+  }
+
+  /** Returns the product's policy. */
+  public static Policy product() {
+    return new Policy(
+        "product",
+        new RoutingPolicy.Product(),
+        new AdmissionPolicy.EarlyRefusal(),
+        new KeepDecision.Unkept());
+  }
+
+  private static Policy rival(String name, RoutingPolicy routing) {
+    return new Policy(
+        name, routing, new AdmissionPolicy.RunnerQueueOnly(), new KeepDecision.Nothing());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Trace.java
@@ -0,0 +1,50 @@
+package org.dragonflyhill.standins.replay;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.dragonflyhill.platform.Json;
+
+/**
+ * Requests in order of arrival, and the time from which they are measured.
+ *
+ * <p>Immutable and thread-safe; no component is null.
+ *
+ * @param requests the requests
+ * @param measureFromMillis earlier arrivals only fill the caches, milliseconds since the start
+ */
+public record Trace(List<TraceRequest> requests, long measureFromMillis) {
+
+  /** Copies the list so that the record stays immutable. */
+  public Trace {
+    requests = List.copyOf(requests);
+  }
+
+  /** Reads a file of JSON lines, or returns what is wrong with it. */
+  public static Either<String, Trace> read(Path file, long measureFromMillis) {
+    List<String> lines;
+    try {
+      lines = Files.readAllLines(file);
+    } catch (IOException e) {
+      return Either.left(file + ": " + e.getMessage());
+    }
+    List<TraceRequest> requests = new ArrayList<>();
+    for (int index = 0; index < lines.size(); index++) {
+      Either<String, TraceRequest> request = Json.read(lines.get(index), TraceRequest.class);
+      if (request.isLeft()) {
+        return Either.left(file + ":" + (index + 1) + ": " + request.getLeft());
+      }
+      requests.add(request.get());
+    }
+    requests.sort(java.util.Comparator.comparingLong(TraceRequest::arrivalMillis));
+    return Either.right(new Trace(requests, measureFromMillis));
+  }
+
+  /** Writes the requests as JSON lines. */
+  public void write(Path file) throws IOException {
+    Files.write(file, requests.stream().map(Json::write).toList());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/TraceGenerator.java
@@ -0,0 +1,221 @@
+package org.dragonflyhill.standins.replay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Generates a trace: first visits spread over two days, then peaks a day apart at a given load, in
+ * which histories return after gaps of minutes to days.
+ *
+ * <pre>{@code
+ * Trace trace = new TraceGenerator(Deployment.STRUNOVA, shape, new Random(1)).generate(0.8);
+ * }</pre>
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+public final class TraceGenerator {
+
+  private static final double[] ORGANISATION_SHARES = {
+    0.26, 0.20, 0.14, 0.08, 0.08, 0.06, 0.06, 0.04, 0.04, 0.04
+  };
+  private static final long WARM_UP_MILLIS = Duration.ofDays(2).toMillis();
+  private static final long DAY_MILLIS = Duration.ofDays(1).toMillis();
+  private static final long QUIET_GAP_MILLIS = Duration.ofMinutes(5).toMillis();
+  private static final long LEAST_RETURN_MILLIS = Duration.ofMinutes(1).toMillis();
+  private static final double NEW_HISTORY_SHARE = 0.06;
+  private static final double HISTORIES_PER_VISIT = 0.8;
+  private static final int PROBE_REQUESTS = 4_000;
+  private static final int RETURN_ATTEMPTS = 20;
+
+  private final Deployment deployment;
+  private final Shape shape;
+  private final RandomGenerator random;
+  private final List<History> histories = new ArrayList<>();
+  private final List<TraceRequest> requests = new ArrayList<>();
+
+  /** Creates a generator for one trace. */
+  public TraceGenerator(Deployment deployment, Shape shape, RandomGenerator random) {
+    this.deployment = deployment;
+    this.shape = shape;
+    this.random = random;
+  }
+
+  /** Returns a trace whose peaks reach a part of the capacity, such as 0.8. */
+  public Trace generate(double load) {
+    double rate = load * capacity(deployment);
+    int firstVisits = (int) (rate * shape.peak().toSeconds() * HISTORIES_PER_VISIT);
+    for (int visit = 0; visit < firstVisits; visit++) {
+      visitNew(WARM_UP_MILLIS * visit / firstVisits);
+    }
+    for (int peak = 0; peak < shape.peaks(); peak++) {
+      long start = WARM_UP_MILLIS + peak * DAY_MILLIS;
+      peak(start, rate);
+      quiet(start + shape.peak().toMillis(), peak + 1 < shape.peaks());
+    }
+    requests.sort(Comparator.comparingLong(TraceRequest::arrivalMillis));
+    return new Trace(requests, WARM_UP_MILLIS);
+  }
+
+  /**
+   * Returns the capacity in requests a second: the rate at which either prefill of never seen
+   * tokens or the slots of all runners are fully used.
+   */
+  public static double capacity(Deployment deployment) {
+    var probe =
+        new TraceGenerator(
+            deployment, new Shape(Duration.ofSeconds(PROBE_REQUESTS), 1), new java.util.Random(0));
+    for (int visit = 0; visit < PROBE_REQUESTS; visit++) {
+      probe.visitNew(0);
+    }
+    probe.requests.clear();
+    probe.peak(WARM_UP_MILLIS, 1);
+    return probe.capacityOfRequests();
+  }
+
+  private double capacityOfRequests() {
+    Set<String> seen = new HashSet<>();
+    histories.forEach(history -> seen.addAll(history.pieces.subList(0, history.firstPieces)));
+    long unseenTokens = 0;
+    long slotMicros = 0;
+    Deployment.Engine engine = deployment.engine();
+    for (TraceRequest request : requests) {
+      long pieces = request.pieces().stream().filter(seen::add).count();
+      long unseen = pieces * TraceRequest.PIECE_TOKENS + request.tailTokens();
+      unseenTokens += unseen;
+      slotMicros +=
+          engine.prefillMicros(unseen)
+              + request.outputTokens() * engine.tokenMicros(engine.slots());
+    }
+    double prefill =
+        (double) deployment.runners()
+            * engine.prefillTokensPerSecond()
+            * requests.size()
+            / unseenTokens;
+    double slots =
+        1e6 * deployment.runners() * engine.slots() * requests.size() / (double) slotMicros;
+    return Math.min(prefill, slots);
+  }
+
+  private void peak(long startMillis, double rate) {
+    double millis = startMillis;
+    double end = startMillis + shape.peak().toMillis();
+    while (millis < end) {
+      visit((long) millis);
+      millis += -Math.log(1 - random.nextDouble()) * 1_000 / rate;
+    }
+  }
+
+  private void quiet(long startMillis, boolean isFollowed) {
+    if (isFollowed) {
+      long end = startMillis + DAY_MILLIS - shape.peak().toMillis();
+      for (long millis = startMillis; millis < end; millis += QUIET_GAP_MILLIS) {
+        visit(millis);
+      }
+    }
+  }
+
+  private void visit(long nowMillis) {
+    if (random.nextDouble() < NEW_HISTORY_SHARE) {
+      visitNew(nowMillis);
+      return;
+    }
+    returning(nowMillis)
+        .ifPresentOrElse(history -> request(history, nowMillis), () -> visitNew(nowMillis));
+  }
+
+  private Optional<History> returning(long nowMillis) {
+    for (int attempt = 0; attempt < RETURN_ATTEMPTS && !histories.isEmpty(); attempt++) {
+      History history = histories.get(random.nextInt(histories.size()));
+      if (history.lastMillis + LEAST_RETURN_MILLIS <= nowMillis) {
+        return Optional.of(history);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void visitNew(long nowMillis) {
+    String organisation = "org-" + pick(ORGANISATION_SHARES);
+    double[] shares = deployment.tasks().stream().mapToDouble(Task::share).toArray();
+    Task task = deployment.tasks().get(pick(shares));
+    History history = new History(histories.size(), organisation, task);
+    history.pieces.add(organisation + "/" + task.name());
+    int pieces = between(task.historyPieces());
+    while (history.pieces.size() < pieces) {
+      history.grow();
+    }
+    history.firstPieces = pieces;
+    histories.add(history);
+    request(history, nowMillis);
+  }
+
+  private void request(History history, long nowMillis) {
+    Task task = history.task;
+    while (history.carriedTokens >= TraceRequest.PIECE_TOKENS) {
+      history.carriedTokens -= TraceRequest.PIECE_TOKENS;
+      history.grow();
+    }
+    int tail = between(task.tailTokens());
+    requests.add(
+        new TraceRequest(
+            nowMillis,
+            history.organisation,
+            task.name(),
+            task.urgent(),
+            task.repeatable(),
+            task.deadline().toMillis(),
+            history.pieces,
+            tail,
+            task.outputTokens()));
+    history.carriedTokens += tail + task.outputTokens();
+    history.lastMillis = nowMillis;
+  }
+
+  private int between(Task.Range range) {
+    return random.nextInt(range.least(), range.greatest() + 1);
+  }
+
+  private int pick(double[] shares) {
+    double left = random.nextDouble();
+    for (int index = 0; index < shares.length; index++) {
+      left -= shares[index];
+      if (left < 0) {
+        return index;
+      }
+    }
+    return shares.length - 1;
+  }
+
+  /**
+   * How long a trace lasts.
+   *
+   * @param peak time that one peak lasts
+   * @param peaks number of peaks, a day apart
+   */
+  public record Shape(Duration peak, int peaks) {}
+
+  private static final class History {
+    private final int number;
+    private final String organisation;
+    private final Task task;
+    private final List<String> pieces = new ArrayList<>();
+    private int firstPieces;
+    private int carriedTokens;
+    private long lastMillis;
+
+    private History(int number, String organisation, Task task) {
+      this.number = number;
+      this.organisation = organisation;
+      this.task = task;
+    }
+
+    private void grow() {
+      pieces.add(organisation + "/" + number + "/" + pieces.size());
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/org/dragonflyhill/standins/replay/ReplayTest.java
@@ -0,0 +1,47 @@
+package org.dragonflyhill.standins.replay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Tests of {@link Replay}. */
+public final class ReplayTest {
+
+  private static final TraceGenerator.Shape SHAPE =
+      new TraceGenerator.Shape(Duration.ofSeconds(20), 1);
+
+  private static Row replay(String name, Fault fault) {
+    Deployment deployment = Deployment.STRUNOVA;
+    Policy policy =
+        Policy.all().stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
+    Trace trace = new TraceGenerator(deployment, SHAPE, new Random(3)).generate(0.5);
+    var setting = new Row.Setting(deployment.name(), name, 0.5, fault.label());
+    return new Replay(deployment, policy, trace, SHAPE, fault, new Random(3)).run(setting);
+  }
+
+  @Test
+  public void sameSeedGivesSameRow() {
+    assertEquals(replay("product", Fault.ZONE_LOST), replay("product", Fault.ZONE_LOST));
+  }
+
+  @Test
+  public void boundComputesNothingTwice() {
+    assertEquals(replay("offline_bound", Fault.NONE).repeatedShare(), 0.0);
+  }
+
+  @Test
+  public void productComputesLessThanHalfOfLeastLoaded() {
+    double product = replay("product", Fault.NONE).computedShare();
+    assertTrue(product < replay("least_loaded", Fault.NONE).computedShare() / 2);
+  }
+
+  @Test
+  public void lostZoneLeavesEveryRequestAnsweredOrRefused() {
+    Row row = replay("product", Fault.ZONE_LOST);
+    int refused = row.refusals().values().stream().mapToInt(Integer::intValue).sum();
+    assertEquals(row.answered() + refused, row.requests());
+  }
+}
