Count the wait for a store's link when an import is weighed

Cause: placement took the whole bandwidth of the runner's link for granted, so that with store links at a tenth every request queued for them. Ruled out: the queue estimate, since runners stood idle.

--- a/core/src/main/java/org/dragonflyhill/core/Placement.java
+++ b/core/src/main/java/org/dragonflyhill/core/Placement.java
@@ -44,6 +44,9 @@
     double prefillSeconds = (double) missing / request.prefillTokensPerSecond();
     double transferSeconds =
         (double) importTokens * request.cacheBytesPerToken() / candidate.linkBytesPerSecond();
+    if (importTokens > 0) {
+      transferSeconds += seconds(candidate.linkWait());
+    }
     double firstTokenSeconds =
         seconds(candidate.queueWait())
             + seconds(candidate.latency())
@@ -83,6 +86,7 @@
    * @param cachedTokens leading tokens that it holds
    * @param importableTokens further tokens that it could import from a store
    * @param linkBytesPerSecond bandwidth left for that import
+   * @param linkWait expected wait until that import starts
    */
   public record Candidate(
       String runner,
@@ -90,7 +94,27 @@
       Duration latency,
       long cachedTokens,
       long importableTokens,
-      long linkBytesPerSecond) {}
+      long linkBytesPerSecond,
+      Duration linkWait) {
+
+    /** Creates a candidate whose import starts at once. */
+    public Candidate(
+        String runner,
+        Duration queueWait,
+        Duration latency,
+        long cachedTokens,
+        long importableTokens,
+        long linkBytesPerSecond) {
+      this(
+          runner,
+          queueWait,
+          latency,
+          cachedTokens,
+          importableTokens,
+          linkBytesPerSecond,
+          Duration.ZERO);
+    }
+  }
 
   /**
    * A runner and what is done there.
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
@@ -26,6 +26,7 @@
       List.of(
           SettingSpec.optional("deployment", "", "riquelme or strunova, both if not given"),
           SettingSpec.optional("seed", "1", "seed of traces and replays"),
+          SettingSpec.optional("policy", "", "only this policy"),
           SettingSpec.optional("trace", "", "file of JSON lines to replay instead"),
           SettingSpec.optional("measure-from", "0", "first second of that file which is measured"),
           SettingSpec.optional("peak-seconds", "0", "peak of that file, in seconds"),
@@ -33,11 +34,13 @@
           SettingSpec.optional("out", "target/measure.jsonl", "file of JSON lines to write"),
           SettingSpec.optional("plots", "", "folder to write plots to"));
 
+  private final List<Policy> policies;
   private final int seed;
   private final TraceGenerator.Shape shape;
   private final List<Row> rows = new ArrayList<>();
 
-  private MeasureMain(int seed, TraceGenerator.Shape shape) {
+  private MeasureMain(int seed, TraceGenerator.Shape shape, List<Policy> policies) {
+    this.policies = policies;
     this.seed = seed;
     this.shape = shape;
   }
@@ -59,7 +62,7 @@
       System.exit(EXIT_USAGE);
     }
     var shape = new TraceGenerator.Shape(Duration.ofSeconds(isFull ? 180 : 60), isFull ? 2 : 1);
-    MeasureMain measure = new MeasureMain(seed, shape);
+    MeasureMain measure = new MeasureMain(seed, shape, policies(values));
     Optional<String> toWrite = values.optionalText("write-trace");
     if (toWrite.isPresent()) {
       measure.trace(deployments.getFirst(), FAULT_LOAD).write(Path.of(toWrite.get()));
@@ -89,6 +92,13 @@
     return chosen;
   }
 
+  private static List<Policy> policies(SettingValues values) {
+    Optional<String> name = values.optionalText("policy");
+    return Policy.all().stream()
+        .filter(one -> name.isEmpty() || one.name().equals(name.get()))
+        .toList();
+  }
+
   private void generated(Deployment deployment) {
     System.out.printf(
         Locale.ROOT,
@@ -101,7 +111,7 @@
         Table.HEADER);
     for (double load : LOADS) {
       Trace trace = trace(deployment, load);
-      Policy.all().forEach(policy -> replay(deployment, policy, trace, load, Fault.NONE));
+      policies.forEach(policy -> replay(deployment, policy, trace, load, Fault.NONE));
     }
     Trace trace = trace(deployment, FAULT_LOAD);
     for (Fault fault : Fault.values()) {
@@ -114,8 +124,8 @@
   private List<Policy> faultPolicies() {
     boolean isFull = shape.peaks() > 1;
     return isFull
-        ? Policy.all()
-        : Policy.all().stream().filter(one -> QUICK_FAULT_POLICIES.contains(one.name())).toList();
+        ? policies
+        : policies.stream().filter(one -> QUICK_FAULT_POLICIES.contains(one.name())).toList();
   }
 
   private void recorded(Deployment deployment, Path file, SettingValues values) {
@@ -129,9 +139,9 @@
     List<TraceRequest> requests = trace.get().requests();
     long last = requests.isEmpty() ? 0 : requests.getLast().arrivalMillis();
     Duration length = peak > 0 ? Duration.ofSeconds(peak) : Duration.ofMillis(last - from + 1);
-    var recorded = new MeasureMain(seed, new TraceGenerator.Shape(length, 1));
+    var recorded = new MeasureMain(seed, new TraceGenerator.Shape(length, 1), policies);
     System.out.println(Table.HEADER);
-    Policy.all().forEach(policy -> recorded.replay(deployment, policy, trace.get(), 0, Fault.NONE));
+    policies.forEach(policy -> recorded.replay(deployment, policy, trace.get(), 0, Fault.NONE));
     rows.addAll(recorded.rows);
   }
 
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/Router.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Router.java
@@ -138,7 +138,15 @@
         Duration.ofNanos(2_000 * deployment.latencyMicros(view.zone(), fake.zone())),
         (long) cached * TraceRequest.PIECE_TOKENS,
         importable,
-        fake.link().bytesPerSecond());
+        imported.map(range -> importBandwidth(fake, view, range)).orElse(1L),
+        imported
+            .filter(range -> !request.urgent())
+            .map(range -> Duration.ofNanos(1_000 * view.linkWaitMicros(range.store(), nowMicros)))
+            .orElse(Duration.ZERO));
+  }
+
+  private static long importBandwidth(FakeRunner runner, NodeView view, Route.Import range) {
+    return Math.min(runner.link().bytesPerSecond(), view.linkBytesPerSecond(range.store()));
   }
 
   private Optional<Route.Import> bestImport(
