Keep a second copy of exported pieces while links are idle

Cause: each piece lay on one store, so losing a store made half of the histories be computed again. Change: both copies are exported at once while the link is all but idle; second copies are evicted first.

--- a/standins/src/main/java/org/dragonflyhill/standins/replay/FakeStore.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/FakeStore.java
@@ -1,9 +1,11 @@
 package org.dragonflyhill.standins.replay;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A store: a capacity of pieces, the longest unused evicted first, behind a link.
@@ -17,6 +19,7 @@
   private final FakeLink link;
   private final int capacityPieces;
   private final Map<String, Boolean> pieces = new LinkedHashMap<>(16, 0.75f, true);
+  private final Set<String> secondCopies = new LinkedHashSet<>();
   private boolean isLost;
 
   /** Creates an empty store. */
@@ -47,6 +50,7 @@
   void lose() {
     isLost = true;
     pieces.clear();
+    secondCopies.clear();
   }
 
   /** Returns how many of these pieces are there before the first that is missing. */
@@ -58,17 +62,26 @@
     return count;
   }
 
-  /** Takes a piece and returns the one that had to go, if any. */
-  Optional<String> add(String piece) {
-    if (isLost) {
+  /**
+   * Takes a piece and returns the one that had to go, if any; second copies go first.
+   *
+   * @param piece the piece
+   * @param isSecond whether another store holds it too
+   */
+  Optional<String> add(String piece, boolean isSecond) {
+    if (isLost || pieces.put(piece, true) != null) {
       return Optional.empty();
     }
-    pieces.put(piece, true);
+    if (isSecond) {
+      secondCopies.add(piece);
+    }
     if (pieces.size() <= capacityPieces) {
       return Optional.empty();
     }
-    String oldest = pieces.keySet().iterator().next();
-    pieces.remove(oldest);
-    return Optional.of(oldest);
+    Set<String> first = secondCopies.isEmpty() ? pieces.keySet() : secondCopies;
+    String victim = first.iterator().next();
+    secondCopies.remove(victim);
+    pieces.remove(victim);
+    return Optional.of(victim);
   }
 }
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/KeepDecision.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/KeepDecision.java
@@ -14,13 +14,21 @@
     }
   }
 
-  /** Exports what no store holds, while the link has time for it. */
-  record Unkept() implements KeepDecision {
+  /**
+   * Exports what no store holds while the link has time for it, and a second copy while the link is
+   * all but idle.
+   */
+  record TwoCopies() implements KeepDecision {
     private static final long MAX_LINK_WAIT_MICROS = 500_000;
+    private static final long MAX_SECOND_LINK_WAIT_MICROS = 100_000;
 
     @Override
     public boolean isExported(int copies, long linkWaitMicros) {
-      return copies == 0 && linkWaitMicros < MAX_LINK_WAIT_MICROS;
+      return switch (copies) {
+        case 0 -> linkWaitMicros < MAX_LINK_WAIT_MICROS;
+        case 1 -> linkWaitMicros < MAX_SECOND_LINK_WAIT_MICROS;
+        default -> false;
+      };
     }
   }
 }
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/Policy.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Policy.java
@@ -36,7 +36,7 @@
         "product",
         new RoutingPolicy.Product(),
         new AdmissionPolicy.EarlyRefusal(),
-        new KeepDecision.Unkept());
+        new KeepDecision.TwoCopies());
   }
 
   private static Policy rival(String name, RoutingPolicy routing) {
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/Replay.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Replay.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 import org.dragonflyhill.core.RefusalReason;
 import org.dragonflyhill.standins.replay.FakeLink.Priority;
 import org.dragonflyhill.standins.replay.FakeRunner.Call;
@@ -270,30 +271,38 @@
       return;
     }
     for (String piece : job.request.pieces()) {
-      int copies = (int) stores.stream().filter(store -> view.holds(store.name(), piece)).count();
-      targetStore(view, piece)
-          .filter(
-              store ->
-                  policy
-                      .keep()
-                      .isExported(copies, store.link().waitMicros(Priority.BACKGROUND, nowMicros)))
-          .ifPresent(store -> exportTo(store, runner, view, piece, nowMicros));
+      exportPiece(piece, runner, view, nowMicros);
     }
   }
 
-  private Optional<FakeStore> targetStore(NodeView view, String piece) {
-    int start = Math.floorMod(piece.substring(0, piece.lastIndexOf('/')).hashCode(), stores.size());
-    for (int offset = 0; offset < stores.size(); offset++) {
-      int store = (start + offset) % stores.size();
-      if (view.isStoreUsable(store) && !view.holds(stores.get(store).name(), piece)) {
-        return Optional.of(stores.get(store));
+  private void exportPiece(String piece, FakeRunner runner, NodeView view, long nowMicros) {
+    int copies = (int) stores.stream().filter(store -> view.holds(store.name(), piece)).count();
+    for (FakeStore store : storesWithout(view, piece)) {
+      long wait = store.link().waitMicros(Priority.BACKGROUND, nowMicros);
+      if (policy.keep().isExported(copies, wait)) {
+        exportTo(store, runner, view, piece, copies > 0, nowMicros);
+        copies++;
       }
     }
-    return Optional.empty();
+  }
+
+  private List<FakeStore> storesWithout(NodeView view, String piece) {
+    int start = Math.floorMod(piece.substring(0, piece.lastIndexOf('/')).hashCode(), stores.size());
+    return IntStream.range(0, stores.size())
+        .map(offset -> (start + offset) % stores.size())
+        .filter(view::isStoreUsable)
+        .mapToObj(stores::get)
+        .filter(store -> !view.holds(store.name(), piece))
+        .toList();
   }
 
   private void exportTo(
-      FakeStore store, FakeRunner runner, NodeView view, String piece, long nowMicros) {
+      FakeStore store,
+      FakeRunner runner,
+      NodeView view,
+      String piece,
+      boolean isSecond,
+      long nowMicros) {
     long bytes = deployment.engine().pieceBytes(1);
     long end =
         Math.max(
@@ -302,7 +311,7 @@
     loop.at(
         end,
         now -> {
-          List<String> evicted = store.add(piece).map(List::of).orElse(List.of());
+          List<String> evicted = store.add(piece, isSecond).map(List::of).orElse(List.of());
           if (!store.isLost()) {
             view.holderChanged(store.name(), List.of(piece), evicted);
             announce(store.name(), List.of(piece), evicted, now);
