--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/FakeStore.java
@@ -0,0 +1,87 @@
+package org.dragonflyhill.standins.replay;
+
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A store: a capacity of pieces, the longest unused evicted first, behind a link.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+final class FakeStore {
+
+  private final String name;
+  private final String zone;
+  private final FakeLink link;
+  private final int capacityPieces;
+  private final Map<String, Boolean> pieces = new LinkedHashMap<>(16, 0.75f, true);
+  private final Set<String> secondCopies = new LinkedHashSet<>();
+  private boolean isLost;
+
+  /** Creates an empty store. */
+  FakeStore(String name, String zone, FakeLink link, int capacityPieces) {
+    this.name = name;
+    this.zone = zone;
+    this.link = link;
+    this.capacityPieces = capacityPieces;
+  }
+
+  String name() {
+    return name;
+  }
+
+  String zone() {
+    return zone;
+  }
+
+  FakeLink link() {
+    return link;
+  }
+
+  boolean isLost() {
+    return isLost;
+  }
+
+  /** Loses the host and all it holds. */
+  void lose() {
+    isLost = true;
+    pieces.clear();
+    secondCopies.clear();
+  }
+
+  /** Returns how many of these pieces are there before the first that is missing. */
+  int use(List<String> wanted) {
+    int count = 0;
+    while (count < wanted.size() && pieces.get(wanted.get(count)) != null) {
+      count++;
+    }
+    return count;
+  }
+
+  /**
+   * Takes a piece and returns the one that had to go, if any; second copies go first.
+   *
+   * @param piece the piece
+   * @param isSecond whether another store holds it too
+   */
+  Optional<String> add(String piece, boolean isSecond) {
+    if (isLost || pieces.put(piece, true) != null) {
+      return Optional.empty();
+    }
+    if (isSecond) {
+      secondCopies.add(piece);
+    }
+    if (pieces.size() <= capacityPieces) {
+      return Optional.empty();
+    }
+    Set<String> first = secondCopies.isEmpty() ? pieces.keySet() : secondCopies;
+    String victim = first.iterator().next();
+    secondCopies.remove(victim);
+    pieces.remove(victim);
+    return Optional.of(victim);
+  }
+}
