--- a/cli/src/main/java/org/dragonflyhill/cli/Main.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Main.java
@@ -20,7 +20,9 @@
   private static final String PROGRAM = "dragonflyhill";
 
   private static final List<Command> COMMANDS =
-      Stream.of(InventoryCommands.all(), ConfigurationCommands.all(), NodeCommands.all())
+      Stream.of(InventoryCommands.all(), ConfigurationCommands.all(),
+              RequestCommands.all(),
+              NodeCommands.all())
           .flatMap(List::stream)
           .toList();
 
