Measure slopes; rank and check without repeated work; limit calls of the command line by a flag

Cause: the rendezvous rank computed each weight once per comparison and the check compiled its patterns for every value; the command line gave up after 5 s, which a cold start on a loaded machine exceeded (NotRunProofTest could not apply its inventory, 6 of 8 tests skipped).

--- a/cli/src/main/java/org/dragonflyhill/cli/Changes.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Changes.java
@@ -22,7 +22,8 @@
 final class Changes {
 
   private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
-  private static final int MAX_WAIT_SECONDS = 3_600;
+  private static final int DEFAULT_WAIT_SECONDS = 15;
+  private static final int MAX_SECONDS = 3_600;
 
   private final Session session;
 
@@ -61,7 +62,7 @@
       printPlan(current, change.get());
       return Either.right(ExitCode.OK);
     }
-    return waitSeconds(line)
+    return seconds(line, "wait-seconds", DEFAULT_WAIT_SECONDS)
         .flatMap(
             seconds ->
                 accepted(log.submit(current, change.get()).block())
@@ -85,11 +86,12 @@
     session.output().print(lines, new Output.Table(List.of("ACTION", "OBJECT"), rows));
   }
 
-  private static Either<CommandError, Integer> waitSeconds(CommandLine line) {
-    String text = line.getOptionValue("wait-seconds", "15");
+  /** Reads a flag that gives a time in seconds. */
+  static Either<CommandError, Integer> seconds(CommandLine line, String flag, int absent) {
+    String text = line.getOptionValue(flag, String.valueOf(absent));
     try {
       int seconds = Integer.parseInt(text);
-      if (seconds >= 1 && seconds <= MAX_WAIT_SECONDS) {
+      if (seconds >= 1 && seconds <= MAX_SECONDS) {
         return Either.right(seconds);
       }
     } catch (NumberFormatException e) {
@@ -97,10 +99,7 @@
     }
     return Either.left(
         CommandError.usage(
-            "--wait-seconds: \""
-                + text
-                + "\": expected a whole number from 1 to "
-                + MAX_WAIT_SECONDS));
+            "--" + flag + ": \"" + text + "\": expected a whole number from 1 to " + MAX_SECONDS));
   }
 
   private static Either<CommandError, ChangeOutcome.Accepted> accepted(ChangeOutcome outcome) {
--- a/cli/src/main/java/org/dragonflyhill/cli/Main.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Main.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.PrintStream;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Locale;
@@ -18,9 +19,12 @@
 public final class Main {
 
   private static final String PROGRAM = "dragonflyhill";
+  private static final int DEFAULT_TIMEOUT_SECONDS = 10;
 
   private static final List<Command> COMMANDS =
-      Stream.of(InventoryCommands.all(), ConfigurationCommands.all(),
+      Stream.of(
+              InventoryCommands.all(),
+              ConfigurationCommands.all(),
               RequestCommands.all(),
               NodeCommands.all())
           .flatMap(List::stream)
@@ -81,14 +85,27 @@
     }
     return format(environment.value(line, "output").orElse("table"))
         .flatMap(
-            format -> {
-              Output output = new Output(out, format);
-              try (Session session =
-                  new Session(line, environment, output, InstantSource.system())) {
-                List<String> words = line.getArgList();
-                return command.run(words.subList(1, words.size()), line, session);
-              }
-            });
+            format ->
+                Changes.seconds(line, "timeout-seconds", DEFAULT_TIMEOUT_SECONDS)
+                    .flatMap(
+                        seconds ->
+                            runOpened(
+                                command,
+                                line,
+                                new Session(
+                                    line,
+                                    environment,
+                                    Duration.ofSeconds(seconds),
+                                    new Output(out, format),
+                                    InstantSource.system()))));
+  }
+
+  private static Either<CommandError, ExitCode> runOpened(
+      Command command, CommandLine line, Session opened) {
+    try (Session session = opened) {
+      List<String> words = line.getArgList();
+      return command.run(words.subList(1, words.size()), line, session);
+    }
   }
 
   private static Either<CommandError, Output.Format> format(String word) {
@@ -104,6 +121,7 @@
     return new Options()
         .addOption(option("log", "HOST:PORT", "address of the log service"))
         .addOption(option("nodes", "HOST:PORT,...", "admin addresses of the nodes"))
+        .addOption(option("timeout-seconds", "NUMBER", "time limit of a call (default: 10)"))
         .addOption(option("author", "NAME", "who makes the change (default: the user's name)"))
         .addOption(option("output", "table|json", "form of the output (default: table)"))
         .addOption(Changes.flag("help", "print this text"));
--- a/cli/src/main/java/org/dragonflyhill/cli/RequestCommands.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/RequestCommands.java
@@ -91,8 +91,7 @@
         return Either.left(
             CommandError.usage("--executed: \"" + executed + "\": expected yes or no"));
       }
-      return find(key, session)
-          .flatMap(view -> resolve(view, executed.equals("yes"), session));
+      return find(key, session).flatMap(view -> resolve(view, executed.equals("yes"), session));
     }
 
     private static Either<CommandError, ExitCode> resolve(
--- a/cli/src/main/java/org/dragonflyhill/cli/Session.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Session.java
@@ -19,13 +19,14 @@
  */
 final class Session implements AutoCloseable {
 
-  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
   private static final int CONNECTIONS = 16;
 
-  private final HttpCaller caller = new HttpCaller("cli", CONNECTIONS, TIMEOUT);
+  private final HttpCaller caller = new HttpCaller("cli", CONNECTIONS, CONNECT_TIMEOUT);
   private final Optional<String> logAddress;
   private final List<String> nodes;
   private final String author;
+  private final Duration timeout;
   private final Output output;
   private final InstantSource clock;
 
@@ -34,10 +35,17 @@
    *
    * @param line flags
    * @param environment environment variables, for flags that were not given
+   * @param timeout time limit of a call
    * @param output takes results
    * @param clock present time
    */
-  Session(CommandLine line, Environment environment, Output output, InstantSource clock) {
+  Session(
+      CommandLine line,
+      Environment environment,
+      Duration timeout,
+      Output output,
+      InstantSource clock) {
+    this.timeout = timeout;
     this.output = output;
     this.clock = clock;
     logAddress = environment.value(line, "log");
@@ -61,7 +69,7 @@
   /** Returns the log service, or what is missing. */
   Either<CommandError, LogPort> log() {
     return logAddress
-        .map(address -> Either.<CommandError, LogPort>right(new HttpLog(caller, address, TIMEOUT)))
+        .map(address -> Either.<CommandError, LogPort>right(new HttpLog(caller, address, timeout)))
         .orElseGet(
             () ->
                 Either.left(
@@ -99,7 +107,7 @@
   private <T> Either<CommandError, T> call(
       HttpMethod method, String node, String path, String body, Class<T> type) {
     return caller
-        .call(method, node, path, List.of(), body, TIMEOUT)
+        .call(method, node, path, List.of(), body, timeout)
         .map(reply -> reply.flatMap(r -> r.read(type)))
         .block()
         .mapLeft(CommandError::of);
--- a/core/src/main/java/org/dragonflyhill/core/ConfigurationCheck.java
+++ b/core/src/main/java/org/dragonflyhill/core/ConfigurationCheck.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Checks that the objects of a configuration are sound and refer only to one another.
@@ -15,9 +16,9 @@
  */
 public final class ConfigurationCheck {
 
-  private static final String NAME_PATTERN = "[a-z0-9][a-z0-9.-]{0,62}";
-  private static final String KEY_HASH_PATTERN = "[0-9a-f]{64}";
-  private static final String ADDRESS_PATTERN = "[^:\\s]+:[0-9]{1,5}";
+  private static final Pattern NAME_PATTERN = Pattern.compile("[a-z0-9][a-z0-9.-]{0,62}");
+  private static final Pattern KEY_HASH_PATTERN = Pattern.compile("[0-9a-f]{64}");
+  private static final Pattern ADDRESS_PATTERN = Pattern.compile("[^:\\s]+:[0-9]{1,5}");
 
   private final Map<ObjectKey, ConfigurationState.VersionedObject> objects;
   private final List<String> faults = new ArrayList<>();
@@ -102,8 +103,8 @@
     notNegative(rule, "recomputeWeight", rule.recomputeWeight());
   }
 
-  private void matches(ConfigurationObject object, String field, String value, String pattern) {
-    if (!value.matches(pattern)) {
+  private void matches(ConfigurationObject object, String field, String value, Pattern pattern) {
+    if (!pattern.matcher(value).matches()) {
       fault(object, field, value, "expected a match of " + pattern);
     }
   }
--- a/core/src/main/java/org/dragonflyhill/core/RendezvousHash.java
+++ b/core/src/main/java/org/dragonflyhill/core/RendezvousHash.java
@@ -21,13 +21,19 @@
 
   /** Returns the names, the one that leads for the key first. */
   public static List<String> rank(String key, Collection<String> names) {
-    List<String> ranked = new ArrayList<>(names);
-    Comparator<String> byWeight = Comparator.comparingLong(name -> weight(key, name));
-    ranked.sort(byWeight.reversed().thenComparing(Comparator.naturalOrder()));
-    return ranked;
+    List<Weighted> ranked = new ArrayList<>(names.size());
+    names.forEach(name -> ranked.add(new Weighted(name, weight(key, name))));
+    ranked.sort(Weighted.HEAVIEST_FIRST);
+    return ranked.stream().map(Weighted::name).toList();
   }
 
   private static long weight(String key, String name) {
     return Hashing.komihash5_0().hashStream().putString(key).putString(name).getAsLong();
   }
+
+  private record Weighted(String name, long weight) {
+
+    static final Comparator<Weighted> HEAVIEST_FIRST =
+        Comparator.comparingLong(Weighted::weight).reversed().thenComparing(Weighted::name);
+  }
 }
--- a/standins/src/main/java/org/dragonflyhill/standins/Main.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Main.java
@@ -9,6 +9,7 @@
 import org.dragonflyhill.platform.SettingSpec;
 import org.dragonflyhill.platform.SettingValues;
 import org.dragonflyhill.standins.demo.Demo;
+import org.dragonflyhill.standins.slopes.Slopes;
 
 /** The program {@code dragonflyhill-standin}, with a subcommand for each system. */
 public final class Main {
@@ -38,6 +39,10 @@
       String[] flags = Arrays.copyOfRange(args, 1, args.length);
       System.exit(Demo.run(flags, System.getenv(), System.out) ? 0 : 1);
     }
+    if (args.length > 0 && args[0].equals("slopes")) {
+      Slopes.run(System.out);
+      return;
+    }
     if (args.length == 0 || !KINDS.contains(args[0])) {
       System.err.println("usage: dragonflyhill-standin " + String.join("|", KINDS) + " [flags]");
       System.err.print(SettingValues.help("dragonflyhill-standin KIND", SPECS));
--- /dev/null
+++ b/standins/src/main/java/org/dragonflyhill/standins/slopes/Slopes.java
@@ -0,0 +1,183 @@
+package org.dragonflyhill.standins.slopes;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.IntFunction;
+import java.util.function.Supplier;
+import org.dragonflyhill.core.ChangeRecord;
+import org.dragonflyhill.core.ClaimEvent;
+import org.dragonflyhill.core.ClaimTable;
+import org.dragonflyhill.core.ConfigurationFold;
+import org.dragonflyhill.core.ConfigurationObject;
+import org.dragonflyhill.core.ConfigurationObject.AdministrativeState;
+import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.core.ConfigurationView;
+import org.dragonflyhill.core.ObjectKey;
+import org.dragonflyhill.core.PieceIndex;
+import org.dragonflyhill.core.RendezvousHash;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.StateText;
+
+/**
+ * Measures state and time of the decision logic at several sizes and prints each point and the
+ * fitted line as JSON lines.
+ *
+ * <p>Not thread-safe: memory is measured for the whole process.
+ */
+public final class Slopes {
+
+  private static final List<Integer> SIZES = List.of(100, 400, 1_600, 3_300);
+  private static final int PIECES_PER_RUNNER = 94;
+  private static final int WARM_UP_ROUNDS = 300;
+  private static final int ROUNDS = 300;
+
+  private final PrintStream out;
+
+  private Slopes(PrintStream out) {
+    this.out = out;
+  }
+
+  /** Measures everything and prints it. */
+  public static void run(PrintStream out) {
+    Slopes slopes = new Slopes(out);
+    slopes.measure("configuration.fold_micros", "runners", Slopes::foldMicros);
+    slopes.measure("configuration.view_micros", "runners", Slopes::viewMicros);
+    slopes.measure("configuration.heap_bytes", "runners", size -> heapBytes(() -> state(size)));
+    slopes.measure("configuration.snapshot_bytes", "runners", Slopes::snapshotBytes);
+    slopes.measure("piece_index.heap_bytes", "runners", size -> heapBytes(() -> index(size)));
+    slopes.measure("claims.heap_bytes", "claims", size -> heapBytes(() -> claims(size * 10)) / 10);
+    slopes.measure("claims.fold_nanos", "claims", Slopes::claimNanos);
+    slopes.measure("rendezvous.rank_micros", "nodes", Slopes::rankMicros);
+  }
+
+  private void measure(String name, String unit, IntFunction<Double> measurement) {
+    List<Fit.Point> points = new ArrayList<>();
+    for (int size : SIZES) {
+      points.add(new Fit.Point(size, measurement.apply(size)));
+    }
+    out.println(Json.write(new Measured(name, unit, points, Fit.of(points))));
+  }
+
+  private static double foldMicros(int size) {
+    ConfigurationState state = state(size);
+    var object = runner(0).withState(AdministrativeState.DRAINING);
+    var base = new ChangeRecord.Base(object.key(), state.offsetOf(object.key()));
+    var change = new ChangeRecord("c", "a", List.of(base), List.of(object), List.of());
+    return micros(() -> ConfigurationFold.apply(state, state.throughOffset() + 1, change));
+  }
+
+  private static double viewMicros(int size) {
+    ConfigurationState state = state(size);
+    return micros(() -> ConfigurationView.of(state));
+  }
+
+  private static double snapshotBytes(int size) {
+    return StateText.of(state(size)).text().length();
+  }
+
+  private static double rankMicros(int size) {
+    List<String> nodes = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      nodes.add("node-" + i);
+    }
+    return micros(() -> RendezvousHash.rank("orders", nodes));
+  }
+
+  private static double claimNanos(int size) {
+    return micros(() -> claims(size)) * 1_000 / size;
+  }
+
+  private static ConfigurationState state(int runners) {
+    List<ConfigurationObject> all = new ArrayList<>();
+    all.add(new ConfigurationObject.AvailabilityZone("zone", "region"));
+    all.add(new ConfigurationObject.Model("model", "v1", 8_000, 131_072));
+    for (int i = 0; i < runners; i++) {
+      all.add(runner(i));
+    }
+    var objects = new TreeMap<ObjectKey, ConfigurationState.VersionedObject>();
+    for (ConfigurationObject object : all) {
+      objects.put(object.key(), new ConfigurationState.VersionedObject(object, 0));
+    }
+    return new ConfigurationState(0, 0, objects, List.of());
+  }
+
+  private static ConfigurationObject.Runner runner(int number) {
+    return new ConfigurationObject.Runner(
+        "runner-" + number,
+        "zone",
+        "10.0.0.1:" + (10_000 + number),
+        "model",
+        16,
+        400_000,
+        1_250_000_000,
+        true,
+        AdministrativeState.ACTIVE);
+  }
+
+  private static PieceIndex index(int runners) {
+    PieceIndex index = new PieceIndex();
+    for (int runner = 0; runner < runners; runner++) {
+      for (int piece = 0; piece < PIECES_PER_RUNNER; piece++) {
+        index.add("runner-" + runner, "%064x".formatted((long) runner << 32 | piece));
+      }
+    }
+    return index;
+  }
+
+  private static ClaimTable claims(int count) {
+    ClaimTable table = new ClaimTable();
+    for (int i = 0; i < count; i++) {
+      var key = new ClaimEvent.RequestKey("organisation", "order-" + i);
+      String claimId = "node-1-claim-" + i;
+      table.apply(2L * i, new ClaimEvent.Claimed(key, claimId, "node-1", "%064x".formatted(i), 0));
+      table.apply(2L * i + 1, settled(key, claimId));
+    }
+    return table;
+  }
+
+  private static ClaimEvent settled(ClaimEvent.RequestKey key, String claimId) {
+    return new ClaimEvent.Settled(
+        key, claimId, 200, Optional.of("{\"status\":\"accepted\"}"), "%064x".formatted(1));
+  }
+
+  private static double micros(Supplier<Object> work) {
+    int sink = 0;
+    for (int i = 0; i < WARM_UP_ROUNDS; i++) {
+      sink += work.get().hashCode() & 1;
+    }
+    long begin = System.nanoTime();
+    for (int i = 0; i < ROUNDS; i++) {
+      sink += work.get() == null ? 1 : 0;
+    }
+    double micros = (System.nanoTime() - begin) / 1e3 / ROUNDS;
+    return sink < 0 ? -1 : micros;
+  }
+
+  private static double heapBytes(Supplier<Object> work) {
+    long before = usedHeap();
+    Object kept = work.get();
+    long after = usedHeap();
+    return kept == null ? 0 : after - before;
+  }
+
+  private static long usedHeap() {
+    for (int i = 0; i < 3; i++) {
+      System.gc();
+    }
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
+  /**
+   * One line of output.
+   *
+   * @param name what was measured
+   * @param unit unit of the sizes
+   * @param points measurements
+   * @param fit line through them
+   */
+  public record Measured(String name, String unit, List<Fit.Point> points, Fit fit) {}
+}
