--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimController.java
@@ -37,7 +37,7 @@
 
   private static final Logger LOGGER = LogManager.getLogger(ClaimController.class);
   private static final int PAGE_RECORDS = 1_000;
-  private static final int MAX_ENTRIES = 100_000;
+  private static final int MAX_ENTRIES = 32_000;
   private static final int MAX_GIVEN_UP = 100_000;
   private static final Duration MIN_RETRY_AFTER = Duration.ofSeconds(1);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(30);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimRunner.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimRunner.java
@@ -21,7 +21,7 @@
 final class ClaimRunner {
 
   /** Largest answer that is kept for copies. */
-  static final int MAX_KEPT_ANSWER_BYTES = 16 * 1_024;
+  static final int MAX_KEPT_ANSWER_BYTES = 4 * 1_024;
 
   private static final Logger LOGGER = LogManager.getLogger(ClaimRunner.class);
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
--- a/proofs/src/test/java/org/dragonflyhill/proofs/BrokenService.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/BrokenService.java
@@ -58,10 +58,11 @@
   }
 
   private void serve(Socket socket) throws IOException {
-    switch (when) {
-      case ON_ACCEPT -> {}
-      case DURING_REQUEST -> socket.getInputStream().read();
-      case AFTER_REQUEST -> readWhole(socket.getInputStream());
+    if (when == When.DURING_REQUEST) {
+      socket.getInputStream().read();
+    }
+    if (when == When.AFTER_REQUEST) {
+      readWhole(socket.getInputStream());
     }
   }
 
--- a/proofs/src/test/java/org/dragonflyhill/proofs/NonRepeatableProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/NonRepeatableProofTest.java
@@ -102,7 +102,7 @@
       ProcessHelper frozen =
           deployment.startNode(
               name(step), "--fail-at=" + step.settingName(), "--fail-pause-millis=1000");
-      var late = CompletableFuture.supplyAsync(() -> checker.send(frozen, name(step)));
+      final var late = CompletableFuture.supplyAsync(() -> checker.send(frozen, name(step)));
       Awaitility.await().until(() -> frozen.log().contains("fault_step_reached"));
       frozen.freeze();
       assertEquals(checker.send(nodeB, name(step)).executed(), "unknown");
--- a/proofs/src/test/java/org/dragonflyhill/proofs/OrderChecker.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/OrderChecker.java
@@ -81,14 +81,14 @@
   }
 
   long executions(String order) {
-    return executed().stream().filter(one -> one.order().equals(order)).count();
+    return allExecuted().stream().filter(one -> one.order().equals(order)).count();
   }
 
   /** Returns all violations, as texts for people. */
   List<String> violations(ProcessHelper survivor) {
     List<String> violations = new ArrayList<>();
     Map<String, List<Executed>> executed =
-        executed().stream().collect(Collectors.groupingBy(Executed::order));
+        allExecuted().stream().collect(Collectors.groupingBy(Executed::order));
     executed.forEach(
         (order, runs) -> {
           if (runs.size() > 1) {
@@ -161,7 +161,7 @@
     return open;
   }
 
-  private List<Executed> executed() {
+  private List<Executed> allExecuted() {
     List<Executed> all = new ArrayList<>(executedElsewhere);
     for (JsonNode record : deployment.records(deployment.service)) {
       JsonNode body = Json.readTree(record.path("body").asText()).get();
