Hold a planned stop from the claim on, and test the claim filter

Cause: a caller that went away while its claim was under way no longer held the planned stop, so that the stop could leave a claim without an outcome.

Change: the run holds the stop from its claim to its outcome's append. Tests of copies, keys, completions, late callers, large answers and releases.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimFilter.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimFilter.java
@@ -50,7 +50,7 @@
     if (refusal.isPresent()) {
       return problem(refusal.get());
     }
-    Mono<Reply> run = claimAndRun(context, next).cache();
+    Mono<Reply> run = runner.hold(context, claimAndRun(context, next)).cache();
     run.subscribe();
     return run.timeout(timeLeft(context), Mono.fromSupplier(ClaimFilter::late));
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimRunner.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimRunner.java
@@ -48,6 +48,14 @@
     this.clock = clock;
   }
 
+  /** Holds a planned stop while a request is claimed and run, whether its caller waits or not. */
+  Mono<Reply> hold(RequestContext context, Mono<Reply> reply) {
+    return Mono.using(
+        () -> drain.begin(context.requestId() + "/claim"),
+        running -> reply,
+        DrainController.Running::close);
+  }
+
   /** Runs a request; the reply does not wait for the log to take the outcome. */
   Mono<Reply> run(RequestContext context, RequestFilter.Handler next, ClaimController.Claim claim) {
     fault.reach(ClaimStep.AFTER_CLAIM_WON);
--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/ClaimFilterTest.java
@@ -0,0 +1,156 @@
+package org.dragonflyhill.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.awaitility.Awaitility;
+import org.dragonflyhill.core.ClaimWindow;
+import org.dragonflyhill.core.ConfigurationObject.Organisation;
+import org.dragonflyhill.core.ConfigurationObject.Urgency;
+import org.dragonflyhill.core.Execution;
+import org.dragonflyhill.core.Refusal;
+import org.dragonflyhill.core.RefusalReason;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
+
+/** Tests of {@link ClaimFilter}. */
+public final class ClaimFilterTest {
+
+  private static final Instant NOW = Instant.parse("2026-01-01T12:00:00Z");
+  private static final Call ORDER = new Call.ServiceCall("dispatch", "send", "{\"shed\":4}");
+  private static final Reply DONE = new Reply.Json(200, "{}");
+  private static final Organisation ORGANISATION = new Organisation("granja", List.of(), 1, 1_000);
+
+  private final AtomicInteger runs = new AtomicInteger();
+  private FakeLog log;
+  private ClaimController claims;
+  private ClaimFilter filter;
+
+  /** Creates a filter whose node has read the empty log. */
+  @BeforeMethod
+  public void create() {
+    runs.set(0);
+    log = new FakeLog();
+    claims =
+        new ClaimController(
+            log,
+            "node-a",
+            ClaimWindow.DEFAULT,
+            ClaimLimits.DEFAULT,
+            ClaimStepFault.NONE,
+            new NodeMetrics(),
+            () -> NOW);
+    claims.start();
+    Awaitility.await().until(() -> claims.unready(NOW).isEmpty());
+    var runner = new ClaimRunner(claims, ClaimStepFault.NONE, new DrainController(), () -> NOW);
+    filter = new ClaimFilter(claims, runner, () -> NOW);
+  }
+
+  /** Ends its background reads. */
+  @AfterMethod(alwaysRun = true)
+  public void close() {
+    claims.close();
+  }
+
+  private Reply handle(Optional<String> key, Call call, Duration left, Mono<Reply> answer) {
+    var context =
+        new RequestContext(
+            "request",
+            NOW,
+            new RequestContext.Headers(Optional.empty(), key, Optional.empty(), Optional.empty()),
+            call,
+            Optional.of(ORGANISATION),
+            Optional.of(
+                new RequestContext.Treatment(
+                    "order", Urgency.ORDINARY, false, 1, 1, NOW.plus(left))));
+    return filter
+        .handle(context, ignored -> answer.doOnSubscribe(started -> runs.incrementAndGet()))
+        .block(Duration.ofSeconds(20));
+  }
+
+  private Reply handle(Call call) {
+    return handle(Optional.of("k"), call, Duration.ofSeconds(60), Mono.just(DONE));
+  }
+
+  private static Refusal refusal(Reply reply) {
+    return ((Reply.Problem) reply).refusal();
+  }
+
+  @Test
+  public void copyGetsAnswerOfFirst() {
+    assertEquals(handle(ORDER), DONE);
+    assertEquals(handle(ORDER), DONE);
+    assertEquals(runs.get(), 1);
+  }
+
+  @Test
+  public void refusesRequestWithoutKey() {
+    Reply reply = handle(Optional.empty(), ORDER, Duration.ofSeconds(60), Mono.just(DONE));
+    assertEquals(refusal(reply).reason(), RefusalReason.KEY_MISSING);
+  }
+
+  @Test
+  public void refusesKeyOfAnotherRequest() {
+    handle(ORDER);
+    Reply reply = handle(new Call.ServiceCall("dispatch", "send", "{\"shed\":5}"));
+    assertEquals(refusal(reply).reason(), RefusalReason.KEY_REUSED);
+    assertEquals(runs.get(), 1);
+  }
+
+  @Test
+  public void runsCompletionThatMayNotRepeatOnce() {
+    Call completion = new Call.Completion("m1", "prompt", 8, false, false);
+    handle(completion);
+    assertEquals(handle(completion), DONE);
+    assertEquals(runs.get(), 1);
+  }
+
+  @Test
+  public void refusesStreamedCompletionThatMayNotRepeat() {
+    Reply reply = handle(new Call.Completion("m1", "prompt", 8, true, false));
+    assertEquals(refusal(reply).reason(), RefusalReason.BAD_REQUEST);
+    assertEquals(runs.get(), 0);
+  }
+
+  @Test
+  public void runGoesOnAfterDeadlineOfCaller() {
+    Mono<Reply> slow = Mono.just(DONE).delayElement(Duration.ofMillis(600));
+    Reply reply = handle(Optional.of("k"), ORDER, Duration.ofMillis(400), slow);
+    assertEquals(refusal(reply).execution(), Execution.UNKNOWN);
+    Awaitility.await().until(() -> log.records().getLast().contains("settled"));
+  }
+
+  @Test
+  public void answerTooLargeToKeepIsReportedAsRun() {
+    Reply large = new Reply.Json(200, "x".repeat(ClaimRunner.MAX_KEPT_ANSWER_BYTES + 1));
+    handle(Optional.of("k"), ORDER, Duration.ofSeconds(60), Mono.just(large));
+    Reply copy = handle(ORDER);
+    assertEquals(refusal(copy).reason(), RefusalReason.ANSWER_NOT_KEPT);
+    assertEquals(refusal(copy).execution(), Execution.YES);
+  }
+
+  @Test
+  public void refusalThatSentNothingReleasesClaim() {
+    Reply notRun = new Reply.Problem(Refusal.notRun(RefusalReason.NO_ENDPOINT, "none"));
+    handle(Optional.of("k"), ORDER, Duration.ofSeconds(60), Mono.just(notRun));
+    Awaitility.await().until(() -> log.records().getLast().contains("released"));
+    Awaitility.await().until(() -> claims.entries().isEmpty());
+    assertEquals(handle(ORDER), DONE);
+  }
+
+  @Test
+  public void unclearFailureIsNeverRunAgain() {
+    Reply unclear = new Reply.Problem(Refusal.unknown(RefusalReason.ENDPOINT_FAILED, "lost"));
+    handle(Optional.of("k"), ORDER, Duration.ofSeconds(60), Mono.just(unclear));
+    assertEquals(refusal(handle(ORDER)).reason(), RefusalReason.OUTCOME_UNKNOWN);
+    assertEquals(runs.get(), 1);
+    assertTrue(claims.withoutOutcome().size() == 1);
+  }
+}
--- a/proofs/src/test/java/org/dragonflyhill/proofs/NonRepeatableProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/NonRepeatableProofTest.java
@@ -119,7 +119,7 @@
     Random random = Proof.random("frozenUnderLoadAndResumed");
     int orders = 20;
     deployment.faults(deployment.service, "{\"delay_millis\":30}");
-    var sent =
+    final var sent =
         java.util.stream.IntStream.range(0, orders)
             .mapToObj(i -> CompletableFuture.runAsync(() -> checker.send(nodeA, "frozen-" + i)))
             .toArray(CompletableFuture[]::new);
