--- a/daemon/src/main/java/org/dragonflyhill/daemon/ConfigurationController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ConfigurationController.java
@@ -105,6 +105,11 @@
     return problem;
   }
 
+  /** Returns whether a node that starts may serve with the configuration that it has. */
+  public synchronized boolean isUsable() {
+    return state.version() >= 0 && !replay.isGap();
+  }
+
   /** Returns whether the state may be behind and peers should be asked for a newer one. */
   public boolean wantsPeers() {
     return !isLogReadable || problem.isPresent();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -143,7 +143,7 @@
   private void markStarted(ConfigurationController configuration) {
     var waiting =
         Flux.interval(STARTED_POLL)
-            .filter(tick -> configuration.state().version() >= 0)
+            .filter(tick -> configuration.isUsable())
             .next()
             .subscribe(tick -> drain.started());
     closer.add(waiting::dispose);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/PeerController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PeerController.java
@@ -52,6 +52,7 @@
   private final InstantSource clock;
   private final RandomGenerator random;
   private final PeerHandler.OutcomeSource outcomes;
+  private final PeerTraffic traffic = new PeerTraffic();
   private final PeerTable table = new PeerTable();
   private final PeerServer server;
   private final PeerClient client;
@@ -84,7 +85,6 @@
     this.metrics = metrics;
     this.clock = clock;
     this.random = random;
-    PeerTraffic traffic = new PeerTraffic();
     PeerSecret secret = new PeerSecret(settings.secret().getBytes(StandardCharsets.UTF_8));
     client = new PeerClient(node, secret, traffic, TIMEOUT);
     server = new PeerServer(settings.host(), settings.peerPort(), node, secret, this, traffic);
@@ -108,6 +108,11 @@
     return server.port();
   }
 
+  /** Returns the bytes of frames that this node sent to others. */
+  public long sentBytes() {
+    return traffic.sentBytes();
+  }
+
   /** Returns what is known of each listed node, this one included. */
   public synchronized List<PeerTable.Entry> nodes() {
     table.heard(own(clock.instant()), clock.instant());
--- /dev/null
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/ConfigurationProofTest.java
@@ -0,0 +1,381 @@
+package org.dragonflyhill.proofs;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.awaitility.Awaitility;
+import org.dragonflyhill.core.ChangeRecord;
+import org.dragonflyhill.core.ConfigurationObject;
+import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.daemon.AdminApi;
+import org.dragonflyhill.platform.ChangeOutcome;
+import org.dragonflyhill.platform.ConfigurationLog;
+import org.dragonflyhill.platform.ConfigurationRecord;
+import org.dragonflyhill.platform.HttpCaller;
+import org.dragonflyhill.platform.HttpLog;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.StateText;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Proves over separate processes that an accepted configuration is in force everywhere and never
+ * reverts. What was accepted is read from the log stand-in's own stream.
+ */
+public final class ConfigurationProofTest {
+
+  private static final String PROMISE = "9 accepted configuration in force and never reverted";
+  private static final Duration IN_FORCE = Duration.ofSeconds(15);
+  private static final Duration LOG_TIMEOUT = Duration.ofSeconds(2);
+  private static final int RACES = 10;
+  private static final String RECORDS = "/streams/configuration/records?from=0&limit=100000";
+
+  private Deployment deployment;
+  private HttpCaller caller;
+  private VersionSampler sampler;
+
+  /** Starts the stand-ins and applies the inventory. */
+  @BeforeMethod
+  public void start() {
+    deployment = new Deployment(0);
+    assertEquals(deployment.apply().exitCode(), 0);
+    caller = deployment.closer.add(new HttpCaller("proof", 8, LOG_TIMEOUT));
+    sampler = deployment.closer.add(new VersionSampler(deployment));
+  }
+
+  /** Ends all processes. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    deployment.close();
+  }
+
+  private ConfigurationLog operator() {
+    return new ConfigurationLog(new HttpLog(caller, deployment.log.address("port"), LOG_TIMEOUT));
+  }
+
+  private ProcessHelper startNodes(int count) {
+    for (int i = 0; i < count; i++) {
+      deployment.startNode("node-" + (char) ('a' + i));
+    }
+    listNodes();
+    return deployment.nodes.getFirst();
+  }
+
+  private void listNodes() {
+    ObjectNode listing = Json.mapper().createObjectNode();
+    var hosts = listing.putArray("hosts");
+    for (int i = 0; i < deployment.nodes.size(); i++) {
+      hosts
+          .addObject()
+          .put("name", "node-" + (char) ('a' + i))
+          .put("role", "NODE")
+          .put("address", deployment.nodes.get(i).address("peer_port"))
+          .put("state", "LIVE");
+    }
+    send(deployment.hostList, "/hosts", "PUT", listing.toString());
+  }
+
+  private String send(ProcessHelper standin, String path, String method, String body) {
+    URI uri = URI.create("http://" + standin.address("port") + path);
+    return deployment
+        .send(
+            HttpRequest.newBuilder(uri)
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build())
+        .body();
+  }
+
+  private static ChangeRecord zone(
+      ConfigurationState state, String changeId, String name, String region) {
+    var zone = new ConfigurationObject.AvailabilityZone(name, region);
+    var base = new ChangeRecord.Base(zone.key(), state.offsetOf(zone.key()));
+    return new ChangeRecord(changeId, changeId, List.of(base), List.of(zone), List.of());
+  }
+
+  private ChangeOutcome submit(String changeId, String name, String region) {
+    ConfigurationState state = operator().read().block().get();
+    return operator().submit(state, zone(state, changeId, name, region)).block();
+  }
+
+  private long accept(String changeId, String name, String region) {
+    ChangeOutcome outcome = submit(changeId, name, region);
+    assertTrue(outcome instanceof ChangeOutcome.Accepted, outcome.toString());
+    return ((ChangeOutcome.Accepted) outcome).offset();
+  }
+
+  private void awaitVersion(ProcessHelper node, long version) {
+    Awaitility.await()
+        .atMost(IN_FORCE)
+        .pollInterval(Duration.ofMillis(20))
+        .until(() -> sampler.version(node) >= version);
+  }
+
+  private void awaitVersion(long version) {
+    deployment.nodes.forEach(node -> awaitVersion(node, version));
+  }
+
+  /** Returns the number of nodes whose objects are not those that the log's stream leads to. */
+  private int differingNodes() {
+    ConfigurationState wanted = operator().read().block().get();
+    List<ConfigurationObject> objects =
+        wanted.objects().values().stream().map(each -> each.object()).toList();
+    String text = Json.write(new AdminApi.Configuration(wanted.version(), objects));
+    JsonNode expected = Json.readTree(text).get();
+    int differing = 0;
+    for (ProcessHelper node : deployment.nodes) {
+      differing += sampler.configuration(node).equals(expected) ? 0 : 1;
+    }
+    return differing;
+  }
+
+  private void report(String failure, int rounds, int requests, int violations) {
+    Proof.report(PROMISE, failure, rounds, requests, violations + sampler.reversions());
+  }
+
+  @Test
+  public void letsOneOfTwoOperatorsOnOneObjectWin() {
+    startNodes(2);
+    int violations = 0;
+    for (int race = 0; race < RACES; race++) {
+      ConfigurationState state = operator().read().block().get();
+      ChangeRecord first = zone(state, "first-" + race, "melipilla", "one-" + race);
+      ChangeRecord second = zone(state, "second-" + race, "melipilla", "two-" + race);
+      var other = CompletableFuture.supplyAsync(() -> operator().submit(state, first).block());
+      List<ChangeOutcome> outcomes =
+          List.of(operator().submit(state, second).block(), other.join());
+      violations += accepted(outcomes) == 1 ? 0 : 1;
+    }
+    awaitVersion(operator().read().block().get().version());
+    report("two operators race on one object", RACES, 2 * RACES, violations + differingNodes());
+  }
+
+  @Test
+  public void letsBothOperatorsOnDifferentObjectsWin() {
+    startNodes(2);
+    int violations = 0;
+    for (int race = 0; race < RACES; race++) {
+      ConfigurationState state = operator().read().block().get();
+      ChangeRecord first = zone(state, "first-" + race, "melipilla", "one-" + race);
+      ChangeRecord second = zone(state, "second-" + race, "san-fernando", "two-" + race);
+      var other = CompletableFuture.supplyAsync(() -> operator().submit(state, first).block());
+      List<ChangeOutcome> outcomes =
+          List.of(operator().submit(state, second).block(), other.join());
+      violations += accepted(outcomes) == 2 ? 0 : 1;
+    }
+    awaitVersion(operator().read().block().get().version());
+    report(
+        "two operators race on different objects", RACES, 2 * RACES, violations + differingNodes());
+  }
+
+  private static long accepted(List<ChangeOutcome> outcomes) {
+    return outcomes.stream().filter(ChangeOutcome.Accepted.class::isInstance).count();
+  }
+
+  @Test
+  public void tellsTheTruthWhenTheAnswerToAnAppendIsLost() {
+    startNodes(2);
+    Random random = Proof.random("lost append answer");
+    int violations = 0;
+    for (int round = 0; round < RACES; round++) {
+      ConfigurationState state = operator().read().block().get();
+      ChangeRecord change = zone(state, "c-" + round, "melipilla", "r-" + round);
+      // The answers to the append, and sometimes to reads after it, are lost.
+      int drops = 1 + random.nextInt(3);
+      deployment.faults(deployment.log, "{\"drop_answers\":" + drops + "}");
+      ChangeOutcome outcome = operator().submit(state, change).block();
+      deployment.faults(deployment.log, "{}");
+      violations += outcome instanceof ChangeOutcome.Accepted ? 0 : 1;
+      violations += recordsOf(change.changeId()) == 1 ? 0 : 1;
+    }
+    awaitVersion(operator().read().block().get().version());
+    report("append answer lost", RACES, RACES, violations + differingNodes());
+  }
+
+  private long recordsOf(String changeId) {
+    String stream = send(deployment.log, RECORDS + "&wait_millis=0", "GET", "");
+    long count = 0;
+    for (JsonNode record : Json.readTree(stream).get().path("records")) {
+      JsonNode value = Json.readTree(record.path("value").asText()).get();
+      count += value.path("change").path("change_id").asText().equals(changeId) ? 1 : 0;
+    }
+    return count;
+  }
+
+  @Test
+  public void startsColdNodeFromPeerWhileLogRefuses() {
+    startNodes(2);
+    final long version = accept("c-1", "melipilla", "new");
+    awaitVersion(deployment.nodes.getFirst(), version);
+    deployment.faults(deployment.log, "{\"refuse\":-1}");
+    coldNodeServes(version, "log refuses");
+  }
+
+  @Test
+  public void startsColdNodeFromPeerWhileLogIsFrozen() {
+    startNodes(2);
+    final long version = accept("c-1", "melipilla", "new");
+    awaitVersion(deployment.nodes.getFirst(), version);
+    deployment.log.freeze();
+    coldNodeServes(version, "log frozen");
+    deployment.log.resume();
+  }
+
+  private void coldNodeServes(long version, String failure) {
+    final long start = System.nanoTime();
+    ProcessHelper cold = deployment.startNodeUnready("node-c");
+    listNodes();
+    awaitVersion(cold, version);
+    deployment.awaitReady(cold);
+    Duration taken = Duration.ofNanos(System.nanoTime() - start);
+    System.out.printf("MEASURE cold node, %s: %d ms%n", failure, taken.toMillis());
+    int behind = 0;
+    for (ProcessHelper node : deployment.nodes) {
+      awaitVersion(node, version);
+      behind += sampler.version(node) == version ? 0 : 1;
+    }
+    report("cold node during outage, " + failure, 1, 1, behind);
+  }
+
+  @Test
+  public void bringsFrozenNodeToTheAcceptedVersion() {
+    startNodes(3);
+    ProcessHelper frozen = deployment.nodes.get(1);
+    frozen.freeze();
+    long version = accept("c-1", "melipilla", "new");
+    version = accept("c-2", "melipilla", "newer");
+    awaitVersion(deployment.nodes.getFirst(), version);
+    frozen.resume();
+    awaitVersion(version);
+    report("node frozen and resumed", 1, 2, differingNodes());
+  }
+
+  @Test
+  public void bringsNodeFrozenUntilTheLogIsDownToTheAcceptedVersion() {
+    startNodes(3);
+    ProcessHelper frozen = deployment.nodes.get(1);
+    frozen.freeze();
+    final long version = accept("c-1", "melipilla", "new");
+    awaitVersion(deployment.nodes.getFirst(), version);
+    deployment.faults(deployment.log, "{\"refuse\":-1}");
+    frozen.resume();
+    awaitVersion(version);
+    deployment.faults(deployment.log, "{}");
+    report("node resumed during log outage", 1, 1, differingNodes());
+  }
+
+  @Test
+  public void startsFromSnapshotAfterRecordsExpired() {
+    deployment.startNode("node-a", "--snapshot-age-millis=1000");
+    accept("c-1", "melipilla", "new");
+    Awaitility.await().atMost(IN_FORCE).until(() -> snapshotOffset() > 0);
+    accept("c-2", "san-fernando", "newest");
+    // Only a cold node without peers has to rely on the snapshot.
+    expire(snapshotOffset());
+    deployment.nodes.getFirst().kill();
+    deployment.nodes.clear();
+    sampler.forget();
+    deployment.startNode("node-b");
+    awaitVersion(operator().read().block().get().version());
+    report("records expired, snapshot kept", 1, 2, differingNodes());
+  }
+
+  @Test
+  public void replacesExpiredRecordsBySnapshot() {
+    startNodes(2);
+    final long version = accept("c-1", "melipilla", "new");
+    awaitVersion(version);
+    expire(version + 1);
+    Awaitility.await().atMost(IN_FORCE).until(() -> snapshotOffset() > 0);
+    deployment.startNode("node-c");
+    awaitVersion(version);
+    report("records expired without snapshot, nodes live", 1, 1, differingNodes());
+  }
+
+  @Test
+  public void refusesDamagedAndOldSnapshots() {
+    final ProcessHelper node = startNodes(1);
+    final ConfigurationState old = operator().read().block().get();
+    final long version = accept("c-1", "melipilla", "new");
+    awaitVersion(version);
+    StateText intact = StateText.of(operator().read().block().get());
+    var damaged =
+        new ConfigurationRecord.Snapshot(
+            1, version + 100, intact.text().replace("melipilla", "elsewhere"), intact.digest());
+    appendRecord(Json.write(StateText.of(old).snapshot()));
+    appendRecord(Json.write(damaged));
+    final long after = accept("c-2", "san-fernando", "newest");
+    awaitVersion(after);
+    final int differing = differingNodes();
+    // While it runs, the live node would replace the expired records at once.
+    node.freeze();
+    expire(version + 1);
+    ProcessHelper cold = deployment.startNodeUnready("node-b");
+    // Nothing tells it of its peer yet, so it must not serve what the bad snapshots hold.
+    Awaitility.await()
+        .atMost(IN_FORCE)
+        .until(() -> sampler.status(cold).path("configuration_problem").isTextual());
+    final int served = sampler.version(cold) == -1 || sampler.version(cold) >= after ? 0 : 1;
+    node.resume();
+    listNodes();
+    awaitVersion(cold, after);
+    Awaitility.await().atMost(IN_FORCE).until(() -> operator().read().block().isRight());
+    report("damaged and old snapshot", 1, 2, differing + served + differingNodes());
+  }
+
+  private void appendRecord(String record) {
+    send(
+        deployment.log,
+        "/streams/configuration/records",
+        "POST",
+        Json.write(new HttpLog.Batch(List.of(record))));
+  }
+
+  private void expire(long before) {
+    send(deployment.log, "/streams/configuration/expire?before=" + before, "POST", "");
+  }
+
+  private long snapshotOffset() {
+    String stream = send(deployment.log, RECORDS + "&wait_millis=0", "GET", "");
+    long offset = -1;
+    for (JsonNode record : Json.readTree(stream).get().path("records")) {
+      JsonNode value = Json.readTree(record.path("value").asText()).get();
+      boolean isSnapshot = value.path("type").asText().equals("snapshot");
+      offset = isSnapshot ? record.path("offset").asLong() : offset;
+    }
+    return offset;
+  }
+
+  @Test
+  public void namesWhatEachNodeHas() {
+    ProcessHelper node = startNodes(3);
+    long version = accept("c-1", "melipilla", "new");
+    Awaitility.await()
+        .atMost(IN_FORCE)
+        .until(() -> sampler.knownAtVersion(node, version) == deployment.nodes.size());
+    report("none, every node is named with its version", 1, 1, 0);
+  }
+
+  @Test
+  public void measuresTimeUntilInForce() {
+    startNodes(4);
+    List<Long> millis = new ArrayList<>();
+    for (int round = 0; round < RACES; round++) {
+      long version = accept("c-" + round, "melipilla", "r-" + round);
+      long start = System.nanoTime();
+      awaitVersion(version);
+      millis.add(Duration.ofNanos(System.nanoTime() - start).toMillis());
+    }
+    System.out.println("MEASURE in force on 4 nodes after acceptance, ms: " + millis);
+    report("none, time until in force", RACES, RACES, differingNodes());
+  }
+}
