Make the tests of the peer protocol fail without its connection limit and listener's proof

Cause: a trial without the connection limit passed, since the test only saw the number of connections pass through the limit; the proof of the listening node had no test.

Change: the test waits for the refusal of each surplus connection; an impostor that knows no secret must not be trusted.

--- a/peer/src/test/java/org/dragonflyhill/peer/PeerExchangeTest.java
+++ b/peer/src/test/java/org/dragonflyhill/peer/PeerExchangeTest.java
@@ -3,6 +3,11 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.testng.annotations.AfterMethod;
@@ -13,6 +18,7 @@
 public final class PeerExchangeTest {
 
   private static final int STATE_BYTES = 300_000;
+  private static final int MAC_BYTES = 32;
 
   private final FakeHandler handler = new FakeHandler(STATE_BYTES);
   private final PeerTraffic traffic = new PeerTraffic();
@@ -71,6 +77,32 @@
     assertEquals(traffic.refused(), 1);
   }
 
+  @Test
+  public void trustsNoListenerWithoutTheSecret() throws Exception {
+    try (ServerSocket impostor = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Thread.ofVirtual().start(() -> pretend(impostor));
+      var answer =
+          client("right")
+              .heartbeat("127.0.0.1:" + impostor.getLocalPort(), FakeHandler.of("caller", 3))
+              .block();
+      assertTrue(answer.getLeft() instanceof PeerError.NotAuthenticated, answer.toString());
+    }
+  }
+
+  private static void pretend(ServerSocket impostor) {
+    byte[] challenge =
+        PeerCodec.frame(new PeerMessage.Challenge(1, "listener", new byte[MAC_BYTES]));
+    byte[] confirmation = PeerCodec.frame(new PeerMessage.Confirmation(1, new byte[MAC_BYTES]));
+    try (Socket socket = impostor.accept()) {
+      socket.getOutputStream().write(challenge);
+      socket.getInputStream().read(new byte[STATE_BYTES]);
+      socket.getOutputStream().write(confirmation);
+      socket.getInputStream().read(new byte[STATE_BYTES]);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   @Test
   public void saysUnreachableWhenNobodyListens() {
     server.close();
--- a/peer/src/test/java/org/dragonflyhill/peer/PeerFuzz.java
+++ b/peer/src/test/java/org/dragonflyhill/peer/PeerFuzz.java
@@ -64,6 +64,11 @@
     return new Socket("127.0.0.1", server.port());
   }
 
+  /** Waits until so many connections were refused. */
+  void awaitRefused(long count) throws InterruptedException {
+    awaitConnections(open -> refused() >= count);
+  }
+
   /** Waits until the number of open connections fulfils a condition. */
   void awaitConnections(IntPredicate condition) throws InterruptedException {
     long end = System.nanoTime() + AWAIT_LIMIT.toNanos();
@@ -75,6 +80,10 @@
     }
   }
 
+  long refused() {
+    return traffic.refused();
+  }
+
   int connections() {
     return server.connections();
   }
--- a/peer/src/test/java/org/dragonflyhill/peer/PeerFuzzTest.java
+++ b/peer/src/test/java/org/dragonflyhill/peer/PeerFuzzTest.java
@@ -16,6 +16,7 @@
 
   private static final int ROUNDS = 400;
   private static final int CODEC_ROUNDS = 50_000;
+  private static final int SURPLUS = 20;
   private static final long SEED = 1;
 
   @Test
@@ -44,10 +45,11 @@
   public void boundsSilentConnectionsAndServesAgainAfterwards() throws Exception {
     try (PeerFuzz fuzz = new PeerFuzz(SEED)) {
       List<Socket> silent = new ArrayList<>();
-      for (int i = 0; i < PeerServer.MAX_CONNECTIONS + 20; i++) {
+      for (int i = 0; i < PeerServer.MAX_CONNECTIONS + SURPLUS; i++) {
         silent.add(fuzz.connect());
       }
       fuzz.awaitConnections(count -> count == PeerServer.MAX_CONNECTIONS);
+      fuzz.awaitRefused(SURPLUS);
       // Nobody closes them: the server drops those that do not authenticate.
       fuzz.awaitConnections(count -> count == 0);
       fuzz.checkGoodCall();
