--- /dev/null
+++ b/core/src/test/java/org/dragonflyhill/core/CacheIndexSlopes.java
@@ -0,0 +1,126 @@
+package org.dragonflyhill.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Random;
+
+/** Prints memory and time of the cache indexes at several sizes, for docs/CAPACITY.md. */
+public final class CacheIndexSlopes {
+
+  private static final int RUNNERS = 3_300;
+  private static final int PIECES_PER_PROMPT = 10;
+  private static final int LOOKUPS = 2_000;
+  private static final int WARM_UP = 200;
+  private static final int[] PROMPTS = {31_000, 77_500, 155_000, 310_000};
+  private static final int[] MANIFESTS = {12_500, 25_000, 50_000};
+
+  private CacheIndexSlopes() {}
+
+  /** Prints one line for each size. */
+  public static void main(String[] args) {
+    for (int prompts : PROMPTS) {
+      measurePieceIndex(prompts);
+    }
+    for (int manifests : MANIFESTS) {
+      measureStoreIndex(manifests);
+    }
+  }
+
+  private static void measurePieceIndex(int prompts) {
+    Random random = new Random(1);
+    long before = usedBytes();
+    PieceIndex index = new PieceIndex();
+    List<long[]> asked = new ArrayList<>();
+    for (int prompt = 0; prompt < prompts; prompt++) {
+      String holder = "runner-" + random.nextInt(RUNNERS);
+      List<PieceKeys.Piece> pieces = pieces(random);
+      pieces.forEach(piece -> index.add(holder, piece.id()));
+      if (asked.size() < LOOKUPS) {
+        asked.add(PieceIndex.fingerprints(pieces));
+      }
+    }
+    final long bytes = usedBytes() - before;
+    List<String> names = new ArrayList<>();
+    for (int runner = 0; runner < RUNNERS; runner++) {
+      names.add("runner-" + runner);
+    }
+    long found = lookUp(index, names, asked.subList(0, WARM_UP));
+    long start = System.nanoTime();
+    found += lookUp(index, names, asked);
+    double nanos = (System.nanoTime() - start) / (double) LOOKUPS;
+    System.out.printf(
+        "piece index: prompts %d entries %d bytes/entry %.1f us/prompt over %d runners %.1f"
+            + " ns/runner %.1f (hits %d)%n",
+        prompts,
+        index.size(),
+        bytes / (double) index.size(),
+        RUNNERS,
+        nanos / 1_000,
+        nanos / RUNNERS,
+        found);
+  }
+
+  private static long lookUp(PieceIndex index, List<String> names, List<long[]> asked) {
+    long found = 0;
+    for (long[] fingerprints : asked) {
+      for (String name : names) {
+        found += index.prefixPieces(name, fingerprints);
+      }
+    }
+    return found;
+  }
+
+  private static void measureStoreIndex(int manifests) {
+    Random random = new Random(1);
+    final Instant now = Instant.ofEpochSecond(1_000);
+    long before = usedBytes();
+    StoreIndex index = new StoreIndex(manifests, Duration.ofMinutes(1));
+    List<List<PieceKeys.Piece>> asked = new ArrayList<>();
+    for (int prompt = 0; prompt < manifests / PIECES_PER_PROMPT; prompt++) {
+      List<PieceKeys.Piece> pieces = pieces(random);
+      pieces.forEach(piece -> index.put("store-" + random.nextInt(4), manifest(piece), now));
+      asked.add(pieces);
+    }
+    final long bytes = usedBytes() - before;
+    var wanted = new StoreIndex.Wanted("t".repeat(64), "v1");
+    long found = 0;
+    long start = System.nanoTime();
+    for (List<PieceKeys.Piece> pieces : asked) {
+      found += index.prefix(pieces, 0, wanted, store -> true, now).size();
+    }
+    double micros = (System.nanoTime() - start) / 1e3 / asked.size();
+    System.out.printf(
+        "store index: manifests %d bytes/manifest %.1f us/prompt %.2f (hits %d)%n",
+        index.size(), bytes / (double) index.size(), micros, found);
+  }
+
+  private static PieceManifest manifest(PieceKeys.Piece piece) {
+    // Texts are copied as they are when each manifest is read from JSON.
+    String tag = new String("t".repeat(64).toCharArray());
+    String version = new String(new char[] {'v', '1'});
+    String name = piece.id() + "-0123456789ab-cdef-0123-456789abcdef";
+    String digest = new StringBuilder(piece.id()).reverse().toString();
+    return new PieceManifest(piece.id(), name, 2_000_000, digest, tag, version, 2_000, 0);
+  }
+
+  private static List<PieceKeys.Piece> pieces(Random random) {
+    List<PieceKeys.Piece> pieces = new ArrayList<>();
+    for (int i = 0; i < PIECES_PER_PROMPT; i++) {
+      byte[] id = new byte[32];
+      random.nextBytes(id);
+      pieces.add(new PieceKeys.Piece(HexFormat.of().formatHex(id), 2_000));
+    }
+    return pieces;
+  }
+
+  private static long usedBytes() {
+    Runtime runtime = Runtime.getRuntime();
+    for (int i = 0; i < 3; i++) {
+      System.gc();
+    }
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ExportController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ExportController.java
@@ -202,7 +202,7 @@
       return Mono.empty();
     }
     // The write may still land after this; the sweep for objects without manifest finds it then.
-    sweeps.deleteAfterLease(export.store.name(), export.objectName);
+    sweeps.deleteAfterLease(export.store.name(), export.objectName, 0);
     return Mono.empty();
   }
 
@@ -235,7 +235,7 @@
     if (isListed) {
       return listed(export, manifest);
     }
-    sweeps.deleteAfterLease(export.store.name(), export.objectName);
+    sweeps.deleteAfterLease(export.store.name(), export.objectName, 0);
     return Mono.empty();
   }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/StoreSweepController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/StoreSweepController.java
@@ -92,15 +92,21 @@
     running = reactor.core.Disposables.composite(sweeps, deletes);
   }
 
-  /** Deletes an object once no reader can be in the middle of it. */
-  public synchronized void deleteAfterLease(String store, String objectName) {
+  /**
+   * Deletes an object once no reader can be in the middle of it.
+   *
+   * @param store name of the store
+   * @param objectName name of the object
+   * @param bytes room that this makes, 0 where the length is not known
+   */
+  public synchronized void deleteAfterLease(String store, String objectName, long bytes) {
     if (deletions.size() >= MAX_DELETIONS) {
       // The sweep for objects without manifest finds it later.
       metrics.count("store.deletions_deferred");
       return;
     }
     Instant due = clock.instant().plus(settings.readLease());
-    deletions.add(new Deletion(new Deletion.Target(store, objectName), due));
+    deletions.add(new Deletion(new Deletion.Target(store, objectName), due, bytes));
   }
 
   @Override
@@ -186,11 +192,11 @@
     return victims;
   }
 
-  /** Bytes of unlisted objects are not known here; a piece of the usual size is assumed. */
   private synchronized long pendingBytes(Store store) {
-    long pending = deletions.stream().filter(d -> d.target.store.equals(store.name())).count();
-    List<PieceManifest> listed = index.evictionOrder(store.name());
-    return listed.isEmpty() ? 0 : pending * listed.getFirst().length();
+    return deletions.stream()
+        .filter(deletion -> deletion.target.store.equals(store.name()))
+        .mapToLong(Deletion::bytes)
+        .sum();
   }
 
   private Mono<Void> unlist(Store store, PieceManifest manifest, String counter) {
@@ -205,7 +211,7 @@
     if (answer.isRight()) {
       metrics.count(counter);
       index.unlisted(store.name(), manifest.pieceId());
-      deleteAfterLease(store.name(), manifest.objectName());
+      deleteAfterLease(store.name(), manifest.objectName(), manifest.length());
     }
   }
 
@@ -223,17 +229,24 @@
         Flux.fromIterable(expiredOrphans(store.name(), orphaned, clock.instant()))
             .doOnNext(target -> metrics.count("store.orphans_deleted"))
             .concatMap(this::delete);
-    // Objects were listed before manifests, so an object may be newer than that list: ask again.
-    Flux<Void> unlisted =
-        Flux.fromIterable(manifests)
-            .filter(manifest -> !objects.contains(manifest.objectName()))
-            .filterWhen(manifest -> isObjectMissing(store, manifest))
-            .concatMap(manifest -> unlist(store, manifest, "store.manifests_without_object"));
-    return deleted.thenMany(unlisted).then();
+    List<PieceManifest> suspects =
+        manifests.stream().filter(manifest -> !objects.contains(manifest.objectName())).toList();
+    return deleted.then(Mono.defer(() -> unlistMissing(store, suspects)));
   }
 
-  private Mono<Boolean> isObjectMissing(Store store, PieceManifest manifest) {
-    return objectNames(store).map(names -> !names.contains(manifest.objectName()));
+  /** Objects were listed before manifests, so one may be newer than that list: asks again. */
+  private Mono<Void> unlistMissing(Store store, List<PieceManifest> suspects) {
+    if (suspects.isEmpty()) {
+      return Mono.empty();
+    }
+    return objectNames(store)
+        .flatMapIterable(
+            names ->
+                suspects.stream()
+                    .filter(manifest -> !names.contains(manifest.objectName()))
+                    .toList())
+        .concatMap(manifest -> unlist(store, manifest, "store.manifests_without_object"))
+        .then();
   }
 
   /** Returns the objects that have been without a manifest for longer than any export or read. */
@@ -296,7 +309,7 @@
    */
   public record Settings(Duration readLease, Duration sweepInterval) {}
 
-  private record Deletion(Target target, Instant due) {
+  private record Deletion(Target target, Instant due, long bytes) {
 
     private record Target(String store, String objectName) {}
   }
--- a/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -31,6 +32,9 @@
   private static final int PIECE_BYTES = 8_000;
   private static final int ANSWER_TOKENS = 6;
   private static final int ROUNDS = 3;
+  private static final int FILLING_ROUNDS = 8;
+  private static final long SMALL_CAPACITY = 6_000;
+  private static final long LEASE_MILLIS = 300;
 
   private Deployment deployment;
   private ProcessHelper node;
@@ -59,7 +63,8 @@
   }
 
   private ProcessHelper startNode(String name) {
-    return deployment.startNode(name, "--read-lease-millis=300", "--sweep-interval-millis=200");
+    return deployment.startNode(
+        name, "--read-lease-millis=" + LEASE_MILLIS, "--sweep-interval-millis=200");
   }
 
   @Test
@@ -89,7 +94,7 @@
 
   @Test
   public void checkerSeesWhatAnUncheckedImportUses() {
-    String prompt = keptPrompt();
+    final String prompt = keptPrompt();
     runnerFaults("{\"skip_import_check\":true}");
     storeFaults("{\"corrupt_reads\":true}");
     evict();
@@ -217,6 +222,45 @@
     report("runner evicts between decision and use", ROUNDS);
   }
 
+  @Test
+  public void unlistsAndWaitsBeforeItDeletes() {
+    ObjectNode inventory = deployment.inventory();
+    inventory.path("stores").forEach(s -> ((ObjectNode) s).put("capacity_bytes", SMALL_CAPACITY));
+    ProcessHelper.Ended applied = deployment.apply(inventory);
+    assertEquals(applied.exitCode(), 0, applied.output());
+    List<String> prompts = new ArrayList<>();
+    for (int round = 0; round < FILLING_ROUNDS; round++) {
+      prompts.add(prompt());
+      complete(prompts.getLast());
+    }
+    Awaitility.await().atMost(LIMIT).until(() -> !deletions().isEmpty());
+    evict();
+    prompts.forEach(this::complete);
+    int early = (int) deletions().stream().filter(this::isEarly).count();
+    Proof.report(PROMISE, "store runs out of room", FILLING_ROUNDS, requests, violations() + early);
+  }
+
+  private List<JsonNode> deletions() {
+    return storeRecords().stream().filter(record -> record.has("deleted_object")).toList();
+  }
+
+  /** Returns whether a listed object was deleted before its lease had passed. */
+  private boolean isEarly(JsonNode deletion) {
+    String name = deletion.path("deleted_object").asText();
+    List<JsonNode> about =
+        storeRecords().stream().filter(r -> r.path("object_name").asText().equals(name)).toList();
+    boolean wasListed = about.stream().anyMatch(record -> record.has("listed_piece"));
+    boolean isLate =
+        about.stream()
+            .filter(record -> record.has("unlisted_piece"))
+            .anyMatch(record -> at(record) + LEASE_MILLIS <= at(deletion));
+    return wasListed && !isLate;
+  }
+
+  private static long at(JsonNode record) {
+    return record.path("at_millis").asLong();
+  }
+
   @Test
   public void twoNodesListOneObjectForEachPiece() {
     for (int round = 0; round < ROUNDS; round++) {
--- a/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
@@ -240,9 +240,8 @@
 
   /** Starts stores, which the inventory of this deployment has from then on. */
   void startStores(int count) {
-    for (int i = 0; i < count; i++) {
-      stores.add(standin("store"));
-    }
+    stores.addAll(
+        Collections.nCopies(count, "store").parallelStream().map(kind -> standin(kind)).toList());
   }
 
   private void addStores(ObjectNode inventory) {
@@ -258,6 +257,21 @@
     }
   }
 
+  /** Sends a completion of an organisation and returns the answer. */
+  HttpResponse<String> completeAs(ProcessHelper node, String key, String prompt, int maxTokens) {
+    String body =
+        Json.mapper()
+            .createObjectNode()
+            .put("model", "m1")
+            .put("prompt", prompt)
+            .put("max_tokens", maxTokens)
+            .toString();
+    return send(
+        request(node, "/v1/completions", key)
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build());
+  }
+
   /** Calls a stand-in itself and returns the answer. */
   HttpResponse<String> call(ProcessHelper standin, String method, String path) {
     return send(
