--- a/daemon/src/main/java/org/dragonflyhill/daemon/ExportController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ExportController.java
@@ -94,10 +94,11 @@
   /** Offers the pieces of a prompt that a runner has just computed or used. */
   public synchronized void offer(Kept kept) {
     Instant now = clock.instant();
+    Set<String> usable = index.usableNames(now);
     for (int position = 0; position < kept.pieces().size(); position++) {
       PieceKeys.Piece piece = kept.pieces().get(position);
       policy.seen(kept.group(), piece.id(), now);
-      if (isWanted(kept, piece, now)) {
+      if (isWanted(kept, piece, usable)) {
         enqueue(new Job(kept, piece, position, now));
       }
     }
@@ -123,8 +124,8 @@
     return queue.size();
   }
 
-  private boolean isWanted(Kept kept, PieceKeys.Piece piece, Instant now) {
-    if (pending.contains(piece.id()) || index.isStored(piece.id(), now)) {
+  private boolean isWanted(Kept kept, PieceKeys.Piece piece, Set<String> usable) {
+    if (pending.contains(piece.id()) || index.isStored(piece.id(), usable)) {
       return false;
     }
     var cost =
@@ -166,6 +167,7 @@
       queue.add(job);
       return Optional.empty();
     }
+    metrics.count("export.started");
     String objectName = job.piece.id() + "-" + UUID.randomUUID();
     return Optional.of(new Export(job, store.get(), objectName));
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
@@ -109,7 +109,7 @@
       // Nothing would keep such an engine from using a damaged piece.
       return List.of();
     }
-    return stores.prefix(prompt.pieces, held, prompt.wanted, prompt.now);
+    return stores.prefix(prompt.pieces, held, prompt.wanted, prompt.usableStores, prompt.now);
   }
 
   private long linkBytesPerSecond(Prompt prompt, Runner runner, List<StoreIndex.Found> importable) {
@@ -161,7 +161,14 @@
     var wanted =
         new StoreIndex.Wanted(pieceKeys.organisationTag(organisation), model.weightVersion());
     String group = organisation + "/" + context.requiredTreatment().task();
-    return new Prompt(model, pieces, PieceIndex.fingerprints(pieces), wanted, group, now);
+    return new Prompt(
+        model,
+        pieces,
+        PieceIndex.fingerprints(pieces),
+        wanted,
+        stores.usableNames(now),
+        group,
+        now);
   }
 
   private Optional<Placed> placed(Prompt prompt, Placement.Choice choice, List<Plan> plans) {
@@ -211,6 +218,7 @@
       List<PieceKeys.Piece> pieces,
       long[] fingerprints,
       StoreIndex.Wanted wanted,
+      Set<String> usableStores,
       String group,
       Instant now) {}
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/StoreController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/StoreController.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -74,15 +75,32 @@
             .subscribe();
   }
 
-  /** Finds the stored pieces that continue a prompt behind its first {@code from} pieces. */
+  /**
+   * Finds the stored pieces that continue a prompt.
+   *
+   * @param pieces all pieces of the prompt
+   * @param from number of leading pieces that need no import
+   * @param wanted whose pieces may be used
+   * @param usable names of the stores that may be read
+   * @param now present time
+   */
   public synchronized List<StoreIndex.Found> prefix(
-      List<PieceKeys.Piece> pieces, int from, StoreIndex.Wanted wanted, Instant now) {
-    return index.prefix(pieces, from, wanted, store -> isUsable(store, now), now);
+      List<PieceKeys.Piece> pieces,
+      int from,
+      StoreIndex.Wanted wanted,
+      Set<String> usable,
+      Instant now) {
+    return index.prefix(pieces, from, wanted, usable::contains, now);
   }
 
-  /** Returns whether a usable store lists a piece. */
-  public synchronized boolean isStored(String pieceId, Instant now) {
-    return usable(now).stream().anyMatch(store -> index.holds(store.name(), pieceId));
+  /** Returns whether one of some stores lists a piece. */
+  public synchronized boolean isStored(String pieceId, Set<String> usable) {
+    return usable.stream().anyMatch(store -> index.holds(store, pieceId));
+  }
+
+  /** Returns the names of the stores that may get new work. */
+  public Set<String> usableNames(Instant now) {
+    return usable(now).stream().map(Store::name).collect(Collectors.toSet());
   }
 
   /** Returns the stores that may get new work. */
--- a/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
@@ -32,6 +32,7 @@
   private static final int PIECE_BYTES = 8_000;
   private static final int ANSWER_TOKENS = 6;
   private static final int ROUNDS = 3;
+  private static final int LOST_ANSWERS = 6;
   private static final int FILLING_ROUNDS = 8;
   private static final long SMALL_CAPACITY = 6_000;
   private static final long LEASE_MILLIS = 300;
@@ -261,6 +262,38 @@
     return record.path("at_millis").asLong();
   }
 
+  @Test
+  public void survivesLostAnswersOfStores() {
+    for (int round = 0; round < ROUNDS; round++) {
+      String prompt = prompt();
+      storeFaults("{\"drop_answers\":" + (LOST_ANSWERS + random.nextInt(LOST_ANSWERS)) + "}");
+      complete(prompt);
+      evict();
+      complete(prompt);
+    }
+    storeFaults("{}");
+    awaitNoOrphans();
+    report("answers lost after the effect", ROUNDS);
+  }
+
+  @Test
+  public void sweepsWhatDeadNodeLeftBetweenObjectAndManifest() {
+    storeFaults("{\"link_bytes_per_second\":1000}");
+    String prompt = prompt();
+    complete(prompt);
+    awaitMetric("export.started", 1);
+    pause(200);
+    deployment.nodes.remove(node);
+    node.kill();
+    node = deployment.nodes.getFirst();
+    Awaitility.await().atMost(LIMIT).until(() -> writes() > 0);
+    storeFaults("{}");
+    awaitNoOrphans();
+    evict();
+    complete(prompt);
+    report("node killed between object and manifest", 1);
+  }
+
   @Test
   public void twoNodesListOneObjectForEachPiece() {
     for (int round = 0; round < ROUNDS; round++) {
