--- a/core/src/main/java/org/dragonflyhill/core/RefusalReason.java
+++ b/core/src/main/java/org/dragonflyhill/core/RefusalReason.java
@@ -26,6 +26,10 @@
   IN_PROGRESS(409),
   /** The request was claimed, and its outcome is not known. */
   OUTCOME_UNKNOWN(409),
+  /** The request line or the headers are too large or no HTTP. */
+  MALFORMED_HTTP(400),
+  /** Too many connections are open on this node. */
+  TOO_MANY_CONNECTIONS(503),
   /** The body is larger than allowed. */
   BODY_TOO_LARGE(413),
   /** The organisation has used up its limit. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.daemon;
 
 import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import org.dragonflyhill.core.ConfigurationObject;
@@ -18,6 +19,7 @@
   private final ConfigurationController configuration;
   private final ClaimController claims;
   private final DrainController drain;
+  private final InstantSource clock;
   private final DisposableServer server;
 
   /** Starts to listen. */
@@ -25,11 +27,13 @@
       DaemonSettings settings,
       ConfigurationController configuration,
       ClaimController claims,
-      DrainController drain) {
+      DrainController drain,
+      InstantSource clock) {
     this.settings = settings;
     this.configuration = configuration;
     this.claims = claims;
     this.drain = drain;
+    this.clock = clock;
     server =
         HttpServer.create()
             .host(settings.host())
@@ -64,7 +68,8 @@
         configuration.state().version(),
         configuration.state().throughOffset(),
         drain.runningRequests(),
-        drain.notReadyReason());
+        drain.notReadyReason(),
+        drain.oldest(clock.instant()));
   }
 
   private Configuration configuration() {
@@ -89,6 +94,7 @@
    * @param configurationOffset offset of the last change read, -1 for none
    * @param runningRequests number of running requests
    * @param notReadyReason why it is not ready; empty if it is
+   * @param oldestRequests running requests, oldest first, at most a few
    */
   public record Status(
       String node,
@@ -96,7 +102,8 @@
       long configurationVersion,
       long configurationOffset,
       int runningRequests,
-      Optional<String> notReadyReason) {}
+      Optional<String> notReadyReason,
+      List<DrainController.RunningRequest> oldestRequests) {}
 
   /**
    * Configuration in force on a node.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import org.dragonflyhill.core.ConfigurationObject.Model;
 import org.dragonflyhill.core.ConfigurationObject.Urgency;
 import org.dragonflyhill.core.PieceKeys;
@@ -16,6 +17,7 @@
 import org.dragonflyhill.platform.RunnerPort;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Operators;
 import reactor.core.publisher.SynchronousSink;
 
 /**
@@ -43,6 +45,7 @@
   private final Set<String> barredRunners = new HashSet<>();
   private int attempts;
   private boolean mayHaveRun;
+  private final AtomicLong demand = new AtomicLong();
   private volatile boolean isEnded;
   private volatile Optional<Instant> lastChunkAt = Optional.empty();
 
@@ -76,8 +79,10 @@
   private Flux<AnswerEvent> attempt(PlacementController.Placed placed) {
     attempts++;
     lastChunkAt = Optional.empty();
+    demand.set(0);
     Instant startedAt = services.clock().instant();
     return sources(placed)
+        .doOnRequest(this::requested)
         .takeUntilOther(stalled())
         .<AnswerEvent>handle((sourced, sink) -> judge(sourced, placed, startedAt, sink))
         .concatWith(Flux.defer(() -> isEnded ? Flux.empty() : stall(placed)))
@@ -157,6 +162,7 @@
       }
     }
     lastChunkAt = Optional.of(now);
+    demand.decrementAndGet();
     switch (sourced.event()) {
       case RunnerPort.Event.Chunk chunk -> judgeChunk(sourced.placed(), chunk, sink);
       case RunnerPort.Event.End end -> judgeEnd(sourced.placed(), end, sink);
@@ -200,7 +206,18 @@
     return Flux.interval(STALL_CHECK_INTERVAL).filter(tick -> isStalled()).next();
   }
 
+  /** Notes that the caller's side waits for more; a caller that reads slowly is no stall. */
+  private void requested(long count) {
+    boolean wasSatisfied = demand.getAndAccumulate(count, Operators::addCap) <= 0;
+    if (wasSatisfied && lastChunkAt.isPresent()) {
+      lastChunkAt = Optional.of(services.clock().instant());
+    }
+  }
+
   private boolean isStalled() {
+    if (demand.get() <= 0) {
+      return false;
+    }
     Instant oldest = services.clock().instant().minus(STALL_TIME);
     return lastChunkAt.filter(last -> last.isBefore(oldest)).isPresent();
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -24,6 +24,7 @@
  * @param bodyTimeout time limit of receiving a body
  * @param platformTimeout time limit of a call to the platform
  * @param balancerDelay how long a stopping node still accepts requests
+ * @param stopTimeout how long a stopping node waits for running requests after that
  */
 public record DaemonSettings(
     String node,
@@ -39,7 +40,8 @@
     int maxConnections,
     Duration bodyTimeout,
     Duration platformTimeout,
-    Duration balancerDelay) {
+    Duration balancerDelay,
+    Duration stopTimeout) {
 
   private static final int MIN_SECRET_LENGTH = 16;
   private static final int MAX_PORT = 65_535;
@@ -67,7 +69,11 @@
           SettingSpec.optional(
               "balancer-delay-millis",
               "3000",
-              "time for which a stopping node still accepts requests, in milliseconds"));
+              "time for which a stopping node still accepts requests, in milliseconds"),
+          SettingSpec.optional(
+              "stop-timeout-millis",
+              "120000",
+              "time for which a stopping node then waits for running requests, in milliseconds"));
 
   /** Reads the settings; what is wrong is in {@link SettingValues#faults()} afterwards. */
   public static DaemonSettings from(SettingValues values) {
@@ -85,6 +91,7 @@
         values.integer("max-connections", 1, 1_000_000),
         values.millis("body-timeout-millis"),
         values.millis("platform-timeout-millis"),
-        values.millis("balancer-delay-millis"));
+        values.millis("balancer-delay-millis"),
+        values.millis("stop-timeout-millis"));
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/DrainController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DrainController.java
@@ -1,44 +1,88 @@
 package org.dragonflyhill.daemon;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
 /**
  * Knows which requests run on this node and takes the node through a planned stop.
  *
+ * <p>The steps: {@link #stop} makes the node not ready while it still serves, {@link #refuse} lets
+ * running requests finish and refuses new ones, {@link #abort} ends what is left with an error.
+ *
  * <p>Thread-safe; no argument may be null.
  */
 public final class DrainController {
 
   private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+  private static final int TOLD_REQUESTS = 20;
 
-  private final Set<String> running = ConcurrentHashMap.newKeySet();
-  private volatile boolean isStopping;
-  private volatile boolean isStarted;
+  private final Map<String, Entry> running = new ConcurrentHashMap<>();
+  private final Sinks.Empty<Void> aborted = Sinks.empty();
+  private volatile Phase phase = Phase.STARTING;
 
   /** Notes the start of a request. */
-  public Running begin(String requestId) {
-    running.add(requestId);
-    return () -> running.remove(requestId);
+  public Running begin(String requestId, Instant now) {
+    running.put(requestId, new Entry(now, new CopyOnWriteArrayList<>()));
+    return () -> end(requestId);
+  }
+
+  /** Calls back when a request ends, in whichever way; at once where it has ended. */
+  public void onEnd(String requestId, Runnable callback) {
+    Entry entry = running.get(requestId);
+    if (entry == null) {
+      callback.run();
+      return;
+    }
+    entry.callbacks().add(callback);
+    if (!running.containsKey(requestId) && entry.callbacks().remove(callback)) {
+      callback.run();
+    }
   }
 
   /** Notes that the node has what it needs to serve. */
-  public void started() {
-    isStarted = true;
+  public synchronized void started() {
+    if (phase == Phase.STARTING) {
+      phase = Phase.READY;
+    }
   }
 
   /** Makes the node not ready, so that the balancer moves on. */
-  public void stop() {
-    isStopping = true;
+  public synchronized void stop() {
+    phase = Phase.STOPPING;
+  }
+
+  /** Makes the node refuse new requests. */
+  public synchronized void refuse() {
+    phase = Phase.REFUSING;
+  }
+
+  /** Ends all running requests with an error. */
+  public void abort() {
+    aborted.tryEmitEmpty();
+  }
+
+  /** Completes when running requests must end now. */
+  public Mono<Void> aborted() {
+    return aborted.asMono();
   }
 
   /** Returns whether the node is being stopped. */
   public boolean isStopping() {
-    return isStopping;
+    return phase == Phase.STOPPING || phase == Phase.REFUSING;
+  }
+
+  /** Returns whether new requests are refused. */
+  public boolean isRefusing() {
+    return phase == Phase.REFUSING;
   }
 
   /** Returns the number of running requests. */
@@ -46,12 +90,26 @@
     return running.size();
   }
 
+  /** Returns the requests that have run longest, oldest first. */
+  public List<RunningRequest> oldest(Instant now) {
+    return running.entrySet().stream()
+        .map(
+            entry ->
+                new RunningRequest(
+                    entry.getKey(), Duration.between(entry.getValue().startedAt(), now).toMillis()))
+        .sorted(Comparator.comparingLong(RunningRequest::ageMillis).reversed())
+        .limit(TOLD_REQUESTS)
+        .toList();
+  }
+
   /** Returns why the node is not ready, or empty if it is. */
   public Optional<String> notReadyReason() {
-    if (isStopping) {
-      return Optional.of("stopping, " + running.size() + " requests run");
-    }
-    return isStarted ? Optional.empty() : Optional.of("no configuration yet");
+    return switch (phase) {
+      case STARTING -> Optional.of("no configuration yet");
+      case READY -> Optional.empty();
+      case STOPPING -> Optional.of("stopping, waits for the balancer, " + waitsFor());
+      case REFUSING -> Optional.of("stopping, takes no requests, " + waitsFor());
+    };
   }
 
   /** Completes when no request runs. */
@@ -59,9 +117,50 @@
     return Flux.interval(Duration.ZERO, POLL_INTERVAL).takeUntil(tick -> running.isEmpty()).then();
   }
 
+  private String waitsFor() {
+    return "waits for " + running.size() + " running requests";
+  }
+
+  private void end(String requestId) {
+    Entry entry = running.remove(requestId);
+    if (entry == null) {
+      return;
+    }
+    for (Runnable callback : entry.callbacks()) {
+      // Removing decides between this thread and one that is just adding the callback.
+      if (entry.callbacks().remove(callback)) {
+        callback.run();
+      }
+    }
+  }
+
   /** A running request. */
   public interface Running extends AutoCloseable {
     @Override
     void close();
   }
+
+  /**
+   * A running request as operators see it.
+   *
+   * @param requestId its id
+   * @param ageMillis time since its start, in milliseconds
+   */
+  public record RunningRequest(String requestId, long ageMillis) {}
+
+  /**
+   * What is kept of a running request.
+   *
+   * @param startedAt when it began
+   * @param callbacks what to call at its end
+   */
+  private record Entry(Instant startedAt, List<Runnable> callbacks) {}
+
+  /** Step in the life of a node. */
+  private enum Phase {
+    STARTING,
+    READY,
+    STOPPING,
+    REFUSING
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/EndpointController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/EndpointController.java
@@ -31,6 +31,8 @@
   static final Duration MAX_LOAD_AGE = Duration.ofSeconds(5);
 
   private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
+  private static final Duration SLOT_COUNT_TIME = Duration.ofMillis(250);
+  private static final double OVERCOMMIT = 1.25;
   private static final int POLLS_AT_ONCE = 32;
   private static final int ROUNDS_AT_ONCE = 16;
 
@@ -41,6 +43,7 @@
   private final EndpointHealth health = new EndpointHealth();
   private final Map<String, LoadReport> loads = new HashMap<>();
   private final Map<String, Integer> inFlight = new HashMap<>();
+  private final Map<String, SlotCount> slotCounts = new HashMap<>();
   private final Set<String> polled = ConcurrentHashMap.newKeySet();
   private List<HostListPort.Host> seenHosts = List.of();
   private Disposable polling = () -> {};
@@ -83,6 +86,46 @@
     return health.isUsable(name, inFlight.getOrDefault(name, 0), now);
   }
 
+  /**
+   * Returns how many requests this node may run at once on the runners of a model: its part of
+   * their slots or what the other nodes leave free, whichever is more, and a little on top so that
+   * a runner need not wait for this node.
+   *
+   * @param model name of the model
+   * @param liveNodes number of nodes that share the runners
+   * @param now present time
+   */
+  public synchronized int slots(String model, int liveNodes, Instant now) {
+    SlotCount known = slotCounts.get(model);
+    if (known != null && now.isBefore(known.countedAt().plus(SLOT_COUNT_TIME))) {
+      return known.slots();
+    }
+    int sum = 0;
+    for (Runner runner : configured.get()) {
+      if (runner.model().equals(model) && mayRunMore(runner, now)) {
+        sum += runnerSlots(runner, liveNodes);
+      }
+    }
+    int slots = (int) Math.ceil(sum * OVERCOMMIT);
+    slotCounts.put(model, new SlotCount(slots, now));
+    return slots;
+  }
+
+  /** Counts a runner under readmission as well: its own limit holds its requests back. */
+  private boolean mayRunMore(Runner runner, Instant now) {
+    readHostList();
+    return runner.administrativeState() == AdministrativeState.ACTIVE
+        && health.isUsable(runner.name(), 0, now);
+  }
+
+  private int runnerSlots(Runner runner, int liveNodes) {
+    int own = inFlight.getOrDefault(runner.name(), 0);
+    int reported = load(runner.name()).map(load -> load.running() + load.queued()).orElse(own);
+    int others = Math.max(0, reported - own);
+    int part = (runner.slots() + liveNodes - 1) / liveNodes;
+    return Math.max(part, runner.slots() - others);
+  }
+
   /** Returns the load that a runner last told, unless that was too long ago. */
   public synchronized Optional<RunnerPort.Load> load(String runner) {
     Instant oldest = clock.instant().minus(MAX_LOAD_AGE);
@@ -164,6 +207,14 @@
     }
   }
 
+  /**
+   * Requests that may run on a model's runners.
+   *
+   * @param slots number of requests
+   * @param countedAt when it was counted
+   */
+  private record SlotCount(int slots, Instant countedAt) {}
+
   /**
    * A runner's load as it arrived.
    *
--- a/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
@@ -1,31 +1,24 @@
 package org.dragonflyhill.daemon;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.vavr.control.Either;
-import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.TimeoutException;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.LogEvent;
 import org.reactivestreams.Publisher;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.ConnectionObserver;
 import reactor.netty.DisposableServer;
+import reactor.netty.channel.AbortedException;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerState;
 
 /**
  * Takes requests of callers over HTTP and writes the replies.
@@ -43,9 +36,9 @@
   /** Header of each reply with the request's id. */
   public static final String REQUEST_ID_HEADER = "Dragonflyhill-Request-Id";
 
-  private static final Logger LOGGER = LogManager.getLogger(HttpFrontend.class);
   private static final int MAX_HEADER_BYTES = 16 * 1_024;
   private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
+  private static final Duration CONNECTION_RETRY_AFTER = Duration.ofSeconds(1);
   private static final String BEARER = "Bearer ";
 
   private final DaemonSettings settings;
@@ -53,6 +46,8 @@
   private final NodeMetrics metrics;
   private final InstantSource clock;
   private final DrainController drain;
+  private final ReplyWriter writer;
+  private final ConnectionLimit connections;
   private final DisposableServer server;
 
   /**
@@ -75,12 +70,17 @@
     this.metrics = metrics;
     this.drain = drain;
     this.clock = clock;
+    this.writer = new ReplyWriter(metrics, drain.aborted());
+    this.connections = new ConnectionLimit(settings.maxConnections());
+    metrics.gauge("callers.connections", connections::open);
     this.server =
         HttpServer.create()
             .host(settings.host())
             .port(settings.httpPort())
             .idleTimeout(IDLE_TIMEOUT)
             .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
+            .doOnChannelInit((observer, channel, address) -> connections.opened(channel))
+            .childObserve(this::observe)
             .handle(this::handle)
             .bindNow();
   }
@@ -95,9 +95,16 @@
     server.disposeNow();
   }
 
+  /** Counts requests that the library refuses by itself, since no handler sees them. */
+  private void observe(Connection connection, ConnectionObserver.State state) {
+    if (state == HttpServerState.REQUEST_DECODING_FAILED) {
+      metrics.refused(RefusalReason.MALFORMED_HTTP);
+    }
+  }
+
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     return switch (request.uri().replaceAll("\\?.*", "")) {
-      case "/livez" -> text(response, 200, "text/plain", "live\n");
+      case "/livez" -> ReplyWriter.text(response, 200, "text/plain", "live\n");
       case "/readyz" -> ready(response);
       case "/metrics" -> metrics(request, response);
       default -> serve(request, response);
@@ -107,46 +114,71 @@
   private Publisher<Void> ready(HttpServerResponse response) {
     Optional<String> reason = drain.notReadyReason();
     return reason.isEmpty()
-        ? text(response, 200, "text/plain", "ready\n")
-        : text(response, 503, "text/plain", reason.get() + "\n");
+        ? ReplyWriter.text(response, 200, "text/plain", "ready\n")
+        : ReplyWriter.text(response, 503, "text/plain", reason.get() + "\n");
   }
 
   private Publisher<Void> metrics(HttpServerRequest request, HttpServerResponse response) {
     String accepted = Optional.ofNullable(request.requestHeaders().get("Accept")).orElse("");
     return accepted.contains("json")
-        ? text(response, 200, "application/json", metrics.json())
-        : text(response, 200, "text/plain; version=0.0.4", metrics.text());
+        ? ReplyWriter.text(response, 200, "application/json", metrics.json())
+        : ReplyWriter.text(response, 200, "text/plain; version=0.0.4", metrics.text());
   }
 
   private Publisher<Void> serve(HttpServerRequest request, HttpServerResponse response) {
     String requestId = UUID.randomUUID().toString();
     response.header(REQUEST_ID_HEADER, requestId);
-    DrainController.Running running = drain.begin(requestId);
-    return body(request)
-        .flatMap(body -> answer(requestId, request, body))
-        .onErrorResume(error -> Mono.just(new Reply.Problem(internal(requestId, error))))
-        .flatMap(reply -> Mono.from(write(requestId, response, reply)))
+    DrainController.Running running = drain.begin(requestId, clock.instant());
+    return reply(requestId, request, response)
+        .takeUntilOther(drain.aborted())
+        .switchIfEmpty(Mono.fromSupplier(() -> new Reply.Problem(ReplyWriter.stopped())))
+        .flatMap(reply -> Mono.from(writer.write(requestId, response, reply)))
+        .onErrorResume(HttpFrontend::isCallerGone, error -> callerGone())
+        .doOnCancel(() -> metrics.count("callers.gone"))
         .doFinally(signal -> running.close());
   }
 
-  private Mono<Either<Refusal, String>> body(HttpServerRequest request) {
-    BodyReader reader = new BodyReader(settings.maxBodyBytes());
-    return request
-        .receive()
-        .asByteArray()
-        .takeUntil(block -> !reader.add(block))
-        .then(Mono.fromSupplier(reader::text))
-        .timeout(settings.bodyTimeout())
+  private Mono<Reply> reply(
+      String requestId, HttpServerRequest request, HttpServerResponse response) {
+    if (isOverLimit(request)) {
+      response.keepAlive(false);
+      return Mono.just(new Reply.Problem(tooManyConnections()));
+    }
+    return RequestBody.read(request, settings.maxBodyBytes(), settings.bodyTimeout())
+        .doOnNext(body -> keepAlive(response, body))
+        .flatMap(body -> answer(requestId, request, body.text()))
         .onErrorResume(
-            TimeoutException.class,
-            error ->
-                Mono.just(
-                    Either.left(
-                        Refusal.notRun(
-                            RefusalReason.REQUEST_TIMEOUT,
-                            "the body did not arrive within "
-                                + settings.bodyTimeout().toMillis()
-                                + " ms"))));
+            error -> !isCallerGone(error),
+            error -> Mono.just(new Reply.Problem(ReplyWriter.internal(requestId, error))));
+  }
+
+  /** Lets go of connections whose body was not read, and of all while the node stops. */
+  private void keepAlive(HttpServerResponse response, RequestBody.Read body) {
+    if (!body.isComplete() || drain.isStopping()) {
+      response.keepAlive(false);
+    }
+  }
+
+  private boolean isOverLimit(HttpServerRequest request) {
+    AtomicBoolean isOver = new AtomicBoolean();
+    request.withConnection(connection -> isOver.set(connections.isOver(connection.channel())));
+    return isOver.get();
+  }
+
+  private Refusal tooManyConnections() {
+    return Refusal.notRun(
+            RefusalReason.TOO_MANY_CONNECTIONS,
+            "more than " + settings.maxConnections() + " connections are open")
+        .withRetryAfter(CONNECTION_RETRY_AFTER);
+  }
+
+  private static boolean isCallerGone(Throwable error) {
+    return AbortedException.isConnectionReset(error);
+  }
+
+  private Mono<Void> callerGone() {
+    metrics.count("callers.gone");
+    return Mono.empty();
   }
 
   private Mono<Reply> answer(
@@ -205,136 +237,4 @@
   private static Optional<String> header(HttpServerRequest request, String name) {
     return Optional.ofNullable(request.requestHeaders().get(name));
   }
-
-  private static Refusal internal(String requestId, Throwable error) {
-    LOGGER.error("request {} failed", requestId, error);
-    return Refusal.unknown(RefusalReason.INTERNAL, "a fault of the node, see its log");
-  }
-
-  private Publisher<Void> write(String requestId, HttpServerResponse response, Reply reply) {
-    return switch (reply) {
-      case Reply.Json json -> text(response, json.status(), "application/json", json.body());
-      case Reply.Stream stream -> stream(requestId, response, stream.events());
-      case Reply.Problem problem -> problem(requestId, response, problem.refusal());
-    };
-  }
-
-  /** Waits for the first event, so that an early failure still gets its own status. */
-  private Publisher<Void> stream(
-      String requestId, HttpServerResponse response, Flux<Reply.StreamEvent> events) {
-    return events
-        .onErrorResume(error -> Flux.just(new Reply.StreamEvent.Broken(internal(requestId, error))))
-        .switchOnFirst(
-            (first, all) ->
-                first.get() instanceof Reply.StreamEvent.Broken broken
-                    ? problem(requestId, response, broken.refusal())
-                    : send(requestId, response, all));
-  }
-
-  private Publisher<Void> send(
-      String requestId, HttpServerResponse response, Flux<Reply.StreamEvent> events) {
-    response.status(200).header("Content-Type", "text/event-stream");
-    response.header("Cache-Control", "no-store");
-    return response.sendObject(events.map(event -> bytes(requestId, event)), buffer -> true);
-  }
-
-  private ByteBuf bytes(String requestId, Reply.StreamEvent event) {
-    String text =
-        switch (event) {
-          case Reply.StreamEvent.Data data -> "data: " + data.body() + "\n\n";
-          case Reply.StreamEvent.Whole whole -> "data: [DONE]\n\n";
-          case Reply.StreamEvent.Broken broken -> {
-            noteRefusal(requestId, broken.refusal());
-            yield "event: error\ndata: " + problemBody(requestId, broken.refusal()) + "\n\n";
-          }
-        };
-    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
-  }
-
-  private Publisher<Void> problem(String requestId, HttpServerResponse response, Refusal refusal) {
-    noteRefusal(requestId, refusal);
-    refusal
-        .retryAfter()
-        .ifPresent(time -> response.header("Retry-After", String.valueOf(seconds(time))));
-    return text(
-        response,
-        refusal.reason().status(),
-        "application/problem+json",
-        problemBody(requestId, refusal));
-  }
-
-  private void noteRefusal(String requestId, Refusal refusal) {
-    metrics.refused(refusal.reason());
-    LogEvent.of("request_refused")
-        .with("request", requestId)
-        .with("reason", refusal.reason().code())
-        .with("executed", refusal.execution().word())
-        .info(LOGGER);
-  }
-
-  /** Returns the RFC 9457 form of a refusal. */
-  static String problemBody(String requestId, Refusal refusal) {
-    ObjectNode body = Json.mapper().createObjectNode();
-    body.put("type", "urn:dragonflyhill:" + refusal.reason().code());
-    body.put("title", refusal.reason().code().replace('_', ' '));
-    body.put("status", refusal.reason().status());
-    body.put("detail", refusal.detail());
-    body.put("reason", refusal.reason().code());
-    body.put("executed", refusal.execution().word());
-    body.put("request_id", requestId);
-    refusal.retryAfter().ifPresent(time -> body.put("retry_after_millis", time.toMillis()));
-    return body.toString();
-  }
-
-  private static long seconds(Duration time) {
-    return Math.max(1, (time.toMillis() + 999) / 1_000);
-  }
-
-  private static Publisher<Void> text(
-      HttpServerResponse response, int status, String type, String body) {
-    return response
-        .status(status)
-        .header("Content-Type", type)
-        .sendByteArray(Mono.just(body.getBytes(StandardCharsets.UTF_8)));
-  }
-
-  /** Gathers a body up to a limit. Not thread-safe: one for each request. */
-  private static final class BodyReader {
-
-    private final int limit;
-    private final java.io.ByteArrayOutputStream bytes = new java.io.ByteArrayOutputStream();
-    private boolean isTooLarge;
-
-    BodyReader(int limit) {
-      this.limit = limit;
-    }
-
-    /** Adds a block; returns whether more may follow. */
-    boolean add(byte[] block) {
-      if (bytes.size() + block.length > limit) {
-        isTooLarge = true;
-        return false;
-      }
-      bytes.writeBytes(block);
-      return true;
-    }
-
-    Either<Refusal, String> text() {
-      if (isTooLarge) {
-        return Either.left(
-            Refusal.notRun(
-                RefusalReason.BODY_TOO_LARGE, "the body is larger than " + limit + " bytes"));
-      }
-      try {
-        return Either.right(
-            StandardCharsets.UTF_8
-                .newDecoder()
-                .decode(ByteBuffer.wrap(bytes.toByteArray()))
-                .toString());
-      } catch (CharacterCodingException e) {
-        return Either.left(
-            Refusal.notRun(RefusalReason.BAD_REQUEST, "the body is not valid UTF-8"));
-      }
-    }
-  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Main.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Main.java
@@ -9,6 +9,7 @@
 public final class Main {
 
   private static final int EXIT_USAGE = 2;
+  private static final int EXIT_REQUESTS_CUT = 1;
 
   private Main() {}
 
@@ -29,11 +30,17 @@
       return;
     }
     Node node = new Node(settings, InstantSource.system());
-    Runtime.getRuntime().addShutdownHook(new Thread(node::stopGracefully, "stop"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
     System.out.println(Json.write(new Listening(node.httpPort(), node.adminPort())));
     new CountDownLatch(1).await();
   }
 
+  /** Stops the node; without halting, the virtual machine would report the signal as a failure. */
+  private static void stop(Node node) {
+    boolean isClean = node.stopGracefully();
+    Runtime.getRuntime().halt(isClean ? 0 : EXIT_REQUESTS_CUT);
+  }
+
   /**
    * The line that the program prints once it listens.
    *
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -5,13 +5,17 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Random;
+import java.util.function.IntSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.ConfigurationObject.Model;
 import org.dragonflyhill.core.ConfigurationObject.Runner;
 import org.dragonflyhill.core.HedgeDelay;
+import org.dragonflyhill.core.ObjectKind;
 import org.dragonflyhill.core.PieceKeys;
 import org.dragonflyhill.core.RetryBudget;
 import org.dragonflyhill.platform.Closer;
+import org.dragonflyhill.platform.HostListPort;
 import org.dragonflyhill.platform.HttpCache;
 import org.dragonflyhill.platform.HttpCaller;
 import org.dragonflyhill.platform.HttpHostList;
@@ -21,6 +25,7 @@
 import org.dragonflyhill.platform.LogEvent;
 import org.dragonflyhill.platform.LogPort;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 
 /**
  * One entry host's part of the system, put together from its settings.
@@ -33,10 +38,13 @@
   private static final int MAX_CONNECTIONS_PER_ENDPOINT = 500;
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
   private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(30);
+  private static final Duration TELL_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration ABORT_TIME = Duration.ofSeconds(5);
   private static final Duration STARTED_POLL = Duration.ofMillis(50);
 
   private final Closer closer = new Closer();
   private final DaemonSettings settings;
+  private final InstantSource clock;
   private final DrainController drain = new DrainController();
   private final HttpFrontend frontend;
   private final AdminApi admin;
@@ -49,6 +57,7 @@
    */
   public Node(DaemonSettings settings, InstantSource clock) {
     this.settings = settings;
+    this.clock = clock;
     NodeMetrics metrics = new NodeMetrics();
     HttpCaller platformCaller =
         closer.add(new HttpCaller("platform", MAX_CONNECTIONS_PER_ENDPOINT, CONNECT_TIMEOUT));
@@ -89,20 +98,33 @@
     final var services =
         new ServiceHandler(
             configuration, endpoints, new HttpService(endpointCaller, SERVICE_TIMEOUT), clock);
+    IntSupplier liveNodes = () -> Math.max(1, membership.live(HostListPort.Role.NODE).size());
+    final var admission =
+        closer.add(
+            new AdmissionController(
+                AdmissionFilter.LIMITS,
+                (model, now) -> endpoints.slots(model, liveNodes.getAsInt(), now),
+                metrics,
+                clock));
     configuration.start();
     claims.start();
     membership.start();
     endpoints.start();
+    admission.start();
     cache.start();
     List<RequestFilter> filters =
         List.of(
             new AuthenticationFilter(configuration),
             new ClassificationFilter(configuration, clock),
-            new AdmissionFilter(drain),
+            new AdmissionFilter(
+                admission,
+                drain,
+                model -> configuration.find(ObjectKind.MODEL, model, Model.class).isPresent(),
+                liveNodes),
             new ClaimFilter(claims, clock));
     var chain = RequestFilter.chain(filters, new Dispatcher(completions, services));
     frontend = closer.add(new HttpFrontend(settings, chain, metrics, drain, clock));
-    admin = closer.add(new AdminApi(settings, configuration, claims, drain));
+    admin = closer.add(new AdminApi(settings, configuration, claims, drain, clock));
     markStarted(configuration);
     LogEvent.of("node_started")
         .with("node", settings.node())
@@ -121,14 +143,47 @@
     return admin.port();
   }
 
-  /** Stops without cutting a request: not ready, wait for the balancer, finish all, close. */
-  public void stopGracefully() {
+  /**
+   * Stops without cutting a request: not ready, wait for the balancer, refuse new requests, finish
+   * the running ones, close. Requests that outlast the longest stop get an error.
+   *
+   * @return whether all requests were finished
+   */
+  public boolean stopGracefully() {
     drain.stop();
-    LogEvent.of("node_stopping").with("running", drain.runningRequests()).info(LOGGER);
-    reactor.core.publisher.Mono.delay(settings.balancerDelay()).block();
-    drain.whenIdle().block();
-    LogEvent.of("node_stopped").with("node", settings.node()).info(LOGGER);
+    tell("node_stopping");
+    Mono.delay(settings.balancerDelay()).block();
+    drain.refuse();
+    boolean isClean = finishRunning();
+    if (!isClean) {
+      tell("node_stop_timed_out");
+      drain.abort();
+      drain.whenIdle().timeout(ABORT_TIME, Mono.empty()).block();
+    }
+    LogEvent.of("node_stopped").with("node", settings.node()).with("clean", isClean).info(LOGGER);
     close();
+    return isClean;
+  }
+
+  private boolean finishRunning() {
+    var telling = Flux.interval(TELL_INTERVAL).subscribe(tick -> tell("node_waiting"));
+    try {
+      return drain
+          .whenIdle()
+          .thenReturn(true)
+          .timeout(settings.stopTimeout(), Mono.just(false))
+          .block();
+    } finally {
+      telling.dispose();
+    }
+  }
+
+  private void tell(String event) {
+    LogEvent.of(event)
+        .with("node", settings.node())
+        .with("running", drain.runningRequests())
+        .with("oldest", drain.oldest(clock.instant()))
+        .info(LOGGER);
   }
 
   @Override
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ReplyWriter.java
@@ -0,0 +1,154 @@
+package org.dragonflyhill.daemon;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflyhill.core.Refusal;
+import org.dragonflyhill.core.RefusalReason;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.LogEvent;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Writes replies over HTTP, and counts and logs each refusal once.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+final class ReplyWriter {
+
+  private static final Logger LOGGER = LogManager.getLogger(ReplyWriter.class);
+
+  private final NodeMetrics metrics;
+  private final Mono<Void> aborted;
+
+  /**
+   * Creates a writer.
+   *
+   * @param metrics counts refusals
+   * @param aborted completes when streams must end now
+   */
+  ReplyWriter(NodeMetrics metrics, Mono<Void> aborted) {
+    this.metrics = metrics;
+    this.aborted = aborted;
+  }
+
+  /** Writes a reply. */
+  Publisher<Void> write(String requestId, HttpServerResponse response, Reply reply) {
+    return switch (reply) {
+      case Reply.Json json -> text(response, json.status(), "application/json", json.body());
+      case Reply.Stream stream -> stream(requestId, response, stream.events());
+      case Reply.Problem problem -> problem(requestId, response, problem.refusal());
+    };
+  }
+
+  /** Writes plain text or another whole body. */
+  static Publisher<Void> text(HttpServerResponse response, int status, String type, String body) {
+    return response
+        .status(status)
+        .header("Content-Type", type)
+        .sendByteArray(Mono.just(body.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** Returns the refusal for an unforeseen fault, and logs the fault. */
+  static Refusal internal(String requestId, Throwable error) {
+    LOGGER.error("request {} failed", requestId, error);
+    return Refusal.unknown(RefusalReason.INTERNAL, "a fault of the node, see its log");
+  }
+
+  /** Returns the refusal of a request that a stop ended. */
+  static Refusal stopped() {
+    return Refusal.unknown(RefusalReason.STOPPING, "the node stopped before the answer was whole");
+  }
+
+  /** Waits for the first event, so that an early failure still gets its own status. */
+  private Publisher<Void> stream(
+      String requestId, HttpServerResponse response, Flux<Reply.StreamEvent> events) {
+    return untilAborted(events)
+        .onErrorResume(error -> Flux.just(new Reply.StreamEvent.Broken(internal(requestId, error))))
+        .switchOnFirst(
+            (first, all) ->
+                first.get() instanceof Reply.StreamEvent.Broken broken
+                    ? problem(requestId, response, broken.refusal())
+                    : send(requestId, response, all));
+  }
+
+  private Flux<Reply.StreamEvent> untilAborted(Flux<Reply.StreamEvent> events) {
+    AtomicBoolean isEnded = new AtomicBoolean();
+    return events
+        .doOnNext(event -> isEnded.set(!(event instanceof Reply.StreamEvent.Data)))
+        .takeUntilOther(aborted)
+        .concatWith(
+            Flux.defer(
+                () ->
+                    isEnded.get()
+                        ? Flux.empty()
+                        : Flux.just(new Reply.StreamEvent.Broken(stopped()))));
+  }
+
+  private Publisher<Void> send(
+      String requestId, HttpServerResponse response, Flux<Reply.StreamEvent> events) {
+    response.status(200).header("Content-Type", "text/event-stream");
+    response.header("Cache-Control", "no-store");
+    return response.sendObject(events.map(event -> bytes(requestId, event)), buffer -> true);
+  }
+
+  private ByteBuf bytes(String requestId, Reply.StreamEvent event) {
+    String text =
+        switch (event) {
+          case Reply.StreamEvent.Data data -> "data: " + data.body() + "\n\n";
+          case Reply.StreamEvent.Whole whole -> "data: [DONE]\n\n";
+          case Reply.StreamEvent.Broken broken -> {
+            note(requestId, broken.refusal());
+            yield "event: error\ndata: " + problemBody(requestId, broken.refusal()) + "\n\n";
+          }
+        };
+    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private Publisher<Void> problem(String requestId, HttpServerResponse response, Refusal refusal) {
+    note(requestId, refusal);
+    refusal
+        .retryAfter()
+        .ifPresent(time -> response.header("Retry-After", String.valueOf(seconds(time))));
+    return text(
+        response,
+        refusal.reason().status(),
+        "application/problem+json",
+        problemBody(requestId, refusal));
+  }
+
+  private void note(String requestId, Refusal refusal) {
+    metrics.refused(refusal.reason());
+    LogEvent.of("request_refused")
+        .with("request", requestId)
+        .with("reason", refusal.reason().code())
+        .with("executed", refusal.execution().word())
+        .info(LOGGER);
+  }
+
+  /** Returns the RFC 9457 form of a refusal. */
+  private static String problemBody(String requestId, Refusal refusal) {
+    ObjectNode body = Json.mapper().createObjectNode();
+    body.put("type", "urn:dragonflyhill:" + refusal.reason().code());
+    body.put("title", refusal.reason().code().replace('_', ' '));
+    body.put("status", refusal.reason().status());
+    body.put("detail", refusal.detail());
+    body.put("reason", refusal.reason().code());
+    body.put("executed", refusal.execution().word());
+    body.put("request_id", requestId);
+    refusal.retryAfter().ifPresent(time -> body.put("retry_after_millis", time.toMillis()));
+    return body.toString();
+  }
+
+  private static long seconds(Duration time) {
+    return Math.max(1, (time.toMillis() + 999) / 1_000);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/AdmissionFilterTest.java
@@ -0,0 +1,163 @@
+package org.dragonflyhill.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.awaitility.Awaitility;
+import org.dragonflyhill.core.Admission;
+import org.dragonflyhill.core.ConfigurationObject.Organisation;
+import org.dragonflyhill.core.ConfigurationObject.Urgency;
+import org.dragonflyhill.core.Execution;
+import org.dragonflyhill.core.RefusalReason;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Tests of {@link AdmissionFilter} with {@link AdmissionController}. */
+public final class AdmissionFilterTest {
+
+  private static final int SLOTS = 2;
+
+  private final List<String> begun = new CopyOnWriteArrayList<>();
+  private final List<Reply> replies = new CopyOnWriteArrayList<>();
+  private volatile Mono<Reply> work;
+  private DrainController drain;
+  private AdmissionController admission;
+  private AdmissionFilter filter;
+
+  /** Starts each test with nothing running. */
+  @BeforeMethod
+  public void start() {
+    begun.clear();
+    replies.clear();
+    work = Mono.never();
+    drain = new DrainController();
+    admission =
+        new AdmissionController(
+            new Admission.Limits(3, 0),
+            (pool, now) -> SLOTS,
+            new NodeMetrics(),
+            InstantSource.system());
+    admission.start();
+    filter = new AdmissionFilter(admission, drain, model -> true, () -> 1);
+  }
+
+  /** Stops the controller. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    admission.close();
+  }
+
+  private Disposable ask(String id, Urgency urgency, Duration deadline) {
+    Instant now = Instant.now();
+    var headers =
+        new RequestContext.Headers(
+            Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+    var treatment = new RequestContext.Treatment("t", urgency, true, 1, 1, now.plus(deadline));
+    var context =
+        new RequestContext(
+            id,
+            now,
+            headers,
+            new Call.Completion("m", "prompt", 3, true, false),
+            Optional.of(new Organisation("org", List.of(), 1, 1_000_000)),
+            Optional.of(treatment));
+    DrainController.Running running = drain.begin(id, now);
+    return filter
+        .handle(context, this::begin)
+        .doOnNext(replies::add)
+        .flatMapMany(reply -> reply instanceof Reply.Stream s ? s.events() : Flux.empty())
+        .doFinally(signal -> running.close())
+        .subscribe();
+  }
+
+  private Disposable ask(String id) {
+    return ask(id, Urgency.ORDINARY, Duration.ofSeconds(60));
+  }
+
+  private Mono<Reply> begin(RequestContext context) {
+    begun.add(context.requestId());
+    return work;
+  }
+
+  private org.dragonflyhill.core.Refusal onlyRefusal() {
+    Awaitility.await().until(() -> replies.size() == 1);
+    return ((Reply.Problem) replies.getFirst()).refusal();
+  }
+
+  @Test
+  public void runsNoMoreThanItsSlotsAndUrgentFirst() {
+    final Disposable first = ask("a");
+    ask("b");
+    ask("c");
+    ask("d", Urgency.URGENT, Duration.ofSeconds(60));
+    assertEquals(begun, List.of("a", "b"));
+    first.dispose();
+    Awaitility.await().until(() -> begun.equals(List.of("a", "b", "d")));
+  }
+
+  @Test
+  public void disconnectOfWaitingCallerFreesItsPlace() {
+    ask("a");
+    ask("b");
+    Disposable waiting = ask("c");
+    assertEquals(admission.waiting(), 1);
+    waiting.dispose();
+    assertEquals(admission.waiting(), 0);
+    assertEquals(begun, List.of("a", "b"));
+  }
+
+  @Test
+  public void waitingRequestHearsOfItsDeadlineAtOnce() {
+    ask("a");
+    ask("b");
+    ask("c", Urgency.ORDINARY, Duration.ofMillis(200));
+    assertEquals(onlyRefusal().reason(), RefusalReason.DEADLINE_PASSED);
+    assertEquals(onlyRefusal().execution(), Execution.NO);
+    assertEquals(admission.waiting(), 0);
+  }
+
+  @Test
+  public void fullQueueRefusesAtOnce() {
+    for (String id : List.of("a", "b", "c", "d", "e", "f")) {
+      ask(id);
+    }
+    assertEquals(onlyRefusal().reason(), RefusalReason.QUEUE_FULL);
+    assertTrue(onlyRefusal().retryAfter().isPresent());
+  }
+
+  @Test
+  public void everyEndingFreesItsSlot() {
+    work = Mono.error(new IllegalStateException("fault"));
+    ask("error");
+    work = Mono.just(new Reply.Json(200, "{}"));
+    ask("answer");
+    work = Mono.just(new Reply.Stream(Flux.just(new Reply.StreamEvent.Whole())));
+    ask("stream");
+    work = Mono.just(new Reply.Stream(Flux.never()));
+    ask("disconnect").dispose();
+    work = Mono.never();
+    ask("cancel").dispose();
+    assertEquals(admission.running(), 0);
+    assertEquals(begun.size(), 5);
+  }
+
+  @Test
+  public void stoppingNodeSaysNotRun() {
+    drain.refuse();
+    ask("a");
+    assertEquals(onlyRefusal().reason(), RefusalReason.STOPPING);
+    assertEquals(onlyRefusal().execution(), Execution.NO);
+    assertTrue(onlyRefusal().retryAfter().isPresent());
+    assertTrue(begun.isEmpty());
+  }
+}
--- a/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRunTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRunTest.java
@@ -226,6 +226,30 @@
     assertEquals(metrics.counted("retried.stalled"), 1);
   }
 
+  @Test
+  public void slowReaderIsNoStall() throws InterruptedException {
+    runners.on("a", CompletionRunTest::answer);
+    List<AnswerEvent> read = new CopyOnWriteArrayList<>();
+    var reader =
+        new reactor.core.publisher.BaseSubscriber<AnswerEvent>() {
+          @Override
+          protected void hookOnSubscribe(org.reactivestreams.Subscription subscription) {
+            request(1);
+          }
+
+          @Override
+          protected void hookOnNext(AnswerEvent event) {
+            read.add(event);
+          }
+        };
+    events(true, Urgency.ORDINARY, Duration.ofSeconds(30)).subscribe(reader);
+    Thread.sleep(CompletionRun.STALL_TIME.plusSeconds(3).toMillis());
+    reader.requestUnbounded();
+    org.awaitility.Awaitility.await().until(reader::isDisposed);
+    assertWhole(read);
+    assertEquals(runners.calls, List.of("a@0"));
+  }
+
   @Test
   public void hedgesUrgentRepeatableRequestAndCancelsLoser() {
     runners.on("a", request -> Flux.never());
--- /dev/null
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/LeavingProofTest.java
@@ -0,0 +1,123 @@
+package org.dragonflyhill.proofs;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.dragonflyhill.platform.Json;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Proofs that a leaving runner gets no new work soon after the first sign of its leaving. */
+public final class LeavingProofTest {
+
+  private static final String PROMISE = "7 leaving endpoint gets no new work within 3 s";
+  private static final long BOUND_MILLIS = 3_000;
+  private static final long WATCH_MILLIS = 4_000;
+  private static final int CALLERS = 6;
+
+  /** Tokens of an answer: long enough that answers are under way when the sign comes. */
+  private static final int TOKENS = 150;
+
+  private Deployment deployment;
+  private ProcessHelper node;
+  private ProcessHelper leaving;
+  private Load load;
+
+  /** Starts two runners, a node and callers that keep both runners busy. */
+  @BeforeMethod
+  public void start() {
+    deployment = new Deployment(2);
+    assertEquals(deployment.apply().exitCode(), 0);
+    node = deployment.startNode("node-a");
+    leaving = deployment.runners.getFirst();
+    deployment.runners.forEach(runner -> deployment.faults(runner, "{\"token_delay_millis\":3}"));
+    long seed = Proof.random("LeavingProofTest").nextLong();
+    load = new Load(deployment, node, CALLERS, TOKENS, seed);
+    load.awaitWhole(2 * CALLERS);
+    assertTrue(!deployment.records(leaving).isEmpty(), "the runner had no work to begin with");
+  }
+
+  /** Ends all processes. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    load.close();
+    deployment.close();
+  }
+
+  @Test
+  public void hostListSaysLeaving() {
+    long sign = System.currentTimeMillis();
+    putHosts(
+        "[{\"name\":\"runner-0\",\"role\":\"RUNNER\",\"address\":\"x:1\",\"state\":\"LEAVING\"}]");
+    report("the host list says leaving", sign);
+  }
+
+  @Test
+  public void configurationSaysDraining() throws Exception {
+    ObjectNode inventory = deployment.inventory();
+    ((ObjectNode) ((ArrayNode) inventory.get("runners")).get(0))
+        .put("administrative_state", "DRAINING");
+    Path file = Files.createTempFile("inventory-", ".json");
+    file.toFile().deleteOnExit();
+    Files.writeString(file, inventory.toString());
+    ProcessHelper.Ended applied =
+        ProcessHelper.run(
+            org.dragonflyhill.cli.Main.class,
+            List.of("apply", file.toString(), "--log", deployment.log.address("port")));
+    long sign = System.currentTimeMillis();
+    assertEquals(applied.exitCode(), 0, applied.output());
+    report("the configuration says draining", sign);
+  }
+
+  @Test
+  public void runnerItselfSaysLeavingWhileHostListLags() {
+    putHosts(
+        "[{\"name\":\"runner-0\",\"role\":\"RUNNER\",\"address\":\"x:1\",\"state\":\"LIVE\"}]");
+    long sign = System.currentTimeMillis();
+    deployment.faults(leaving, "{\"token_delay_millis\":3,\"reports_leaving\":true}");
+    report("the runner's load report says leaving, the host list lags", sign);
+  }
+
+  @Test
+  public void runnerRefusesBecauseItLeavesWhileNothingElseSaysSo() {
+    long sign = System.currentTimeMillis();
+    deployment.faults(leaving, "{\"token_delay_millis\":3,\"refuses_leaving\":true}");
+    report("the runner refuses because it leaves, nothing else says so", sign);
+  }
+
+  private void putHosts(String hosts) {
+    deployment.send(
+        HttpRequest.newBuilder(
+                URI.create("http://" + deployment.hostList.address("port") + "/hosts"))
+            .PUT(HttpRequest.BodyPublishers.ofString("{\"hosts\":" + hosts + "}"))
+            .build());
+  }
+
+  /** Watches on, then counts late work in the runner's own records, and answers that were cut. */
+  private void report(String failure, long signMillis) {
+    org.awaitility.Awaitility.await()
+        .atMost(java.time.Duration.ofSeconds(60))
+        .until(() -> System.currentTimeMillis() > signMillis + BOUND_MILLIS + WATCH_MILLIS);
+    load.close();
+    List<Long> starts =
+        deployment.records(leaving).stream()
+            .map(record -> record.path("at_millis"))
+            .filter(com.fasterxml.jackson.databind.JsonNode::isNumber)
+            .map(com.fasterxml.jackson.databind.JsonNode::asLong)
+            .toList();
+    long late = starts.stream().filter(at -> at > signMillis + BOUND_MILLIS).count();
+    long last = starts.stream().mapToLong(at -> at - signMillis).max().orElse(0);
+    System.out.println("last work began " + last + " ms after the sign; cut " + load.cut());
+    int violations = Math.toIntExact(late) + load.cut().size() + load.refused().size();
+    Proof.report(PROMISE, failure, 1, load.requests(), violations);
+    assertTrue(Json.write(starts).length() > 2);
+  }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Load.java
@@ -0,0 +1,137 @@
+package org.dragonflyhill.proofs;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.standins.RunnerStandin;
+
+/** Callers that ask again and again, streamed and plain, and check each answer. Thread-safe. */
+final class Load implements AutoCloseable {
+
+  private final Deployment deployment;
+  private final ProcessHelper node;
+  private final int tokens;
+  private final String salt;
+  private final ExecutorService callers;
+  private final AtomicInteger requests = new AtomicInteger();
+  private final List<String> cut = new CopyOnWriteArrayList<>();
+  private final List<String> refused = new CopyOnWriteArrayList<>();
+  private final ConcurrentHashMap<Integer, Boolean> whole = new ConcurrentHashMap<>();
+  private volatile boolean isEnding;
+
+  /** Starts the callers. */
+  Load(Deployment deployment, ProcessHelper node, int callerCount, int tokens, long seed) {
+    this.deployment = deployment;
+    this.node = node;
+    this.tokens = tokens;
+    salt = Long.toString(seed, 36);
+    callers = Executors.newFixedThreadPool(callerCount);
+    for (int i = 0; i < callerCount; i++) {
+      boolean isStreamed = i % 2 == 0;
+      callers.submit(() -> askOn(isStreamed));
+    }
+  }
+
+  /** Waits until some answers were whole. */
+  void awaitWhole(int count) {
+    org.awaitility.Awaitility.await()
+        .atMost(java.time.Duration.ofSeconds(60))
+        .until(() -> whole.size() >= count);
+  }
+
+  int requests() {
+    return requests.get();
+  }
+
+  int whole() {
+    return whole.size();
+  }
+
+  /** Returns what was neither whole nor a refusal that says that it was not run. */
+  List<String> cut() {
+    return new ArrayList<>(cut);
+  }
+
+  /** Returns the refusals that said that the request was not run. */
+  List<String> refused() {
+    return new ArrayList<>(refused);
+  }
+
+  /** Stops asking and waits for the last answers. */
+  @Override
+  public void close() {
+    isEnding = true;
+    callers.shutdown();
+    try {
+      callers.awaitTermination(60, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void askOn(boolean isStreamed) {
+    while (!isEnding) {
+      int number = requests.getAndIncrement();
+      try {
+        ask(number, isStreamed);
+      } catch (IllegalStateException | java.io.UncheckedIOException e) {
+        if (isNotConnected(e)) {
+          requests.decrementAndGet();
+          return;
+        }
+        cut.add(e.toString());
+      }
+    }
+  }
+
+  /** A refused connection means that the node is gone: nothing was taken that could be cut. */
+  private static boolean isNotConnected(Throwable error) {
+    Throwable cause = error;
+    while (cause != null) {
+      if (cause instanceof java.net.ConnectException) {
+        return true;
+      }
+      cause = cause.getCause();
+    }
+    return false;
+  }
+
+  private void ask(int number, boolean isStreamed) {
+    String prompt = "load " + salt + " " + number;
+    HttpResponse<String> answer = deployment.complete(node, prompt, tokens, isStreamed);
+    String body = answer.body();
+    if (answer.statusCode() == 503 && body.contains("\"executed\":\"no\"")) {
+      refused.add(body);
+      return;
+    }
+    String text = isStreamed ? streamedText(body) : plainText(body);
+    boolean isEnded = !isStreamed || body.endsWith("data: [DONE]\n\n");
+    if (isEnded && text.equals(RunnerStandin.text(prompt, "v1", tokens))) {
+      whole.put(number, true);
+    } else {
+      cut.add(answer.statusCode() + " " + body);
+    }
+  }
+
+  private static String plainText(String body) {
+    return Json.readTree(body).get().at("/choices/0/text").asText();
+  }
+
+  /** Returns the text of a streamed answer. */
+  static String streamedText(String events) {
+    StringBuilder text = new StringBuilder();
+    events
+        .lines()
+        .filter(line -> line.startsWith("data: {"))
+        .map(line -> Json.readTree(line.substring("data: ".length())).get())
+        .forEach(event -> text.append(event.at("/choices/0/text").asText()));
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/PlannedStopProofTest.java
@@ -0,0 +1,105 @@
+package org.dragonflyhill.proofs;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Proofs that a planned stop cuts no request. */
+public final class PlannedStopProofTest {
+
+  private static final String PROMISE = "8 planned stop cuts no request";
+  private static final int CALLERS = 8;
+  private static final int TOKENS = 120;
+
+  private Deployment deployment;
+
+  /** Starts two runners. */
+  @BeforeMethod
+  public void start() {
+    deployment = new Deployment(2);
+    assertEquals(deployment.apply().exitCode(), 0);
+    deployment.runners.forEach(runner -> deployment.faults(runner, "{\"token_delay_millis\":3}"));
+  }
+
+  /** Ends all processes. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    deployment.close();
+  }
+
+  @Test
+  public void nodeUnderLoadStopsWithoutCutting() {
+    ProcessHelper node = deployment.startNode("node-a", "--balancer-delay-millis=500");
+    long seed = Proof.random("PlannedStopProofTest").nextLong();
+    try (Load load = new Load(deployment, node, CALLERS, TOKENS, seed)) {
+      load.awaitWhole(2 * CALLERS);
+      node.terminate();
+      node.await();
+      load.close();
+      System.out.println(
+          "whole " + load.whole() + ", refused " + load.refused().size() + ", cut " + load.cut());
+      int notClean = stoppedClean(node) ? 0 : 1;
+      Proof.report(
+          PROMISE,
+          "node under load is told to stop",
+          1,
+          load.requests(),
+          load.cut().size() + notClean);
+      assertEquals(load.whole() + load.refused().size(), load.requests());
+    }
+  }
+
+  @Test
+  public void stoppingNodeSaysWhatItWaitsFor() throws Exception {
+    ProcessHelper node = deployment.startNode("node-a");
+    deployment.runners.forEach(runner -> deployment.faults(runner, "{\"token_delay_millis\":30}"));
+    final CompletableFuture<HttpResponse<String>> answer =
+        CompletableFuture.supplyAsync(() -> deployment.complete(node, "slow", TOKENS, true));
+    org.awaitility.Awaitility.await().until(() -> status(node).contains("\"running_requests\":1"));
+    node.terminate();
+    org.awaitility.Awaitility.await()
+        .until(() -> status(node).contains("waits for 1 running requests"));
+    assertTrue(status(node).contains("\"age_millis\":"), status(node));
+    assertEquals(deployment.get(node, "/readyz").statusCode(), 503);
+    assertTrue(answer.get().body().endsWith("data: [DONE]\n\n"));
+    node.await();
+    assertTrue(node.log().contains("node_waiting"));
+    Proof.report(
+        PROMISE, "node with one slow stream is told to stop", 1, 1, stoppedClean(node) ? 0 : 1);
+  }
+
+  @Test
+  public void requestThatOutlastsLongestStopGetsExplicitError() throws Exception {
+    ProcessHelper node = deployment.startNode("node-a", "--stop-timeout-millis=500");
+    deployment.runners.forEach(runner -> deployment.faults(runner, "{\"token_delay_millis\":200}"));
+    CompletableFuture<HttpResponse<String>> answer =
+        CompletableFuture.supplyAsync(() -> deployment.complete(node, "slow", TOKENS, true));
+    org.awaitility.Awaitility.await().until(() -> status(node).contains("\"running_requests\":1"));
+    node.terminate();
+    String body = answer.get().body();
+    int violations = body.contains("\"reason\":\"stopping\"") && !body.contains("[DONE]") ? 0 : 1;
+    node.await();
+    Proof.report(PROMISE, "a stream outlasts the longest stop", 1, 1, violations);
+    assertTrue(!stoppedClean(node), node.log());
+  }
+
+  private static boolean stoppedClean(ProcessHelper node) {
+    return node.log()
+        .lines()
+        .anyMatch(line -> line.contains("node_stopped") && line.contains("\"clean\":\"true\""));
+  }
+
+  private String status(ProcessHelper node) {
+    return deployment
+        .send(
+            java.net.http.HttpRequest.newBuilder(
+                    java.net.URI.create("http://" + node.address("admin_port") + "/admin/status"))
+                .build())
+        .body();
+  }
+}
--- a/proofs/src/test/java/org/dragonflyhill/proofs/StreamProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/StreamProofTest.java
@@ -74,6 +74,12 @@
     report("cut streams", ask(true));
   }
 
+  @Test
+  public void gathersPlainAnswerFromCutStreams() {
+    allRunners("{\"cut_after_tokens\":5,\"faulty_completions\":2}");
+    report("cut streams, plain answers", ask(false));
+  }
+
   @Test
   public void throwsAwayAnswerOfAnotherWeightVersion() {
     deployment.faults(deployment.runners.getFirst(), "{\"wrong_weight_version\":true}");
@@ -83,7 +89,7 @@
   @Test
   public void resumesElsewhereWhenRunnerIsKilled() throws Exception {
     allRunners("{\"token_delay_millis\":20}");
-    Future<Integer> violations = Executors.newSingleThreadExecutor().submit(() -> ask(true));
+    final var violations = java.util.concurrent.CompletableFuture.supplyAsync(() -> ask(true));
     org.awaitility.Awaitility.await()
         .until(() -> !deployment.records(deployment.runners.getFirst()).isEmpty());
     Thread.sleep(200 + random.nextInt(400));
@@ -137,18 +143,14 @@
 
   private boolean isWhole(String prompt, boolean isStreamed) {
     HttpResponse<String> answer = deployment.complete(node, prompt, TOKENS, isStreamed);
+    String body = answer.body();
+    String text =
+        isStreamed
+            ? Load.streamedText(body)
+            : Json.readTree(body).get().at("/choices/0/text").asText();
+    boolean isEnded = !isStreamed || body.endsWith("data: [DONE]\n\n");
     return answer.statusCode() == 200
-        && answer.body().endsWith("data: [DONE]\n\n")
-        && text(answer.body()).equals(RunnerStandin.text(prompt, "v1", TOKENS));
-  }
-
-  private static String text(String events) {
-    StringBuilder text = new StringBuilder();
-    events
-        .lines()
-        .filter(line -> line.startsWith("data: {"))
-        .map(line -> Json.readTree(line.substring("data: ".length())).get())
-        .forEach(event -> text.append(event.at("/choices/0/text").asText()));
-    return text.toString();
+        && isEnded
+        && text.equals(RunnerStandin.text(prompt, "v1", TOKENS));
   }
 }
--- a/standins/src/main/java/org/dragonflyhill/standins/Faults.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Faults.java
@@ -23,7 +23,8 @@
  * @param gapEvery one of this many chunks is left out, 0 for none
  * @param faultyCompletions number of next completions whose streams are faulty, 0 for all
  * @param tokenDelayMillis further time of each generated token, in milliseconds
- * @param isLeaving whether the runner says that it is leaving and refuses new completions
+ * @param reportsLeaving whether a runner's load reports say that it is leaving
+ * @param refusesLeaving whether a runner refuses completions because it is leaving
  */
 public record Faults(
     long delayMillis,
@@ -44,9 +45,11 @@
     int gapEvery,
     int faultyCompletions,
     long tokenDelayMillis,
-    boolean isLeaving) {
+    boolean reportsLeaving,
+    boolean refusesLeaving) {
 
   /** No failure. */
   public static final Faults NONE =
-      new Faults(0, 0, 0, 0, 0, 0, 0, false, 0, false, false, false, 0, 0, 0, 0, 0, 0, false);
+      new Faults(
+          0, 0, 0, 0, 0, 0, 0, false, 0, false, false, false, 0, 0, 0, 0, 0, 0, false, false);
 }
--- a/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
@@ -59,8 +59,8 @@
     return switch (request.method() + " " + request.path()) {
       case "POST /v1/completions" ->
           Mono.just(
-              faults.get().isLeaving()
-                  ? StandinReply.text(503, HttpRunner.LEAVING_BODY)
+              faults.get().refusesLeaving()
+                  ? refuse()
                   : complete(request.read(RunnerPort.CompletionRequest.class)));
       case "GET /load" -> Mono.just(StandinReply.json(load()));
       default -> cache.handle(request);
@@ -70,7 +70,12 @@
   private RunnerPort.Load load() {
     int running = engine.slots() - slots.availablePermits();
     return new RunnerPort.Load(
-        running, queued.get(), queuedTokens.get(), clock.millis(), faults.get().isLeaving());
+        running, queued.get(), queuedTokens.get(), clock.millis(), faults.get().reportsLeaving());
+  }
+
+  private StandinReply refuse() {
+    recorder.accept(new Refused(clock.millis()));
+    return StandinReply.text(503, HttpRunner.LEAVING_BODY);
   }
 
   private StandinReply complete(RunnerPort.CompletionRequest request) {
@@ -183,6 +188,13 @@
   public record Engine(
       int slots, long cacheTokens, long prefillTokensPerSecond, Duration tokenTime) {}
 
+  /**
+   * Record of a completion that was refused because the runner is leaving.
+   *
+   * @param atMillis time, milliseconds since the epoch
+   */
+  public record Refused(long atMillis) {}
+
   /**
    * Record of a completion.
    *
