Bound slow request heads and measure what a node adds

Cause: a caller could hold a connection for long by sending its header lines slowly; nothing told how much a node adds to the first token.

Ruled out: the idle timeout alone (each byte starts it anew).

--- a/daemon/src/main/java/org/dragonflyhill/daemon/AttemptFailure.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AttemptFailure.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.daemon;
 
+import java.util.List;
 import org.dragonflyhill.core.StreamAssembler;
 import org.dragonflyhill.platform.PlatformError;
 
@@ -10,6 +11,18 @@
  */
 sealed interface AttemptFailure {
 
+  /** All names under which retries are counted, so that each counter exists from the start. */
+  List<String> CODES =
+      List.of(
+          "not_sent",
+          "lost",
+          "refused",
+          "malformed",
+          "crossed",
+          "gap",
+          "wrong_weight_version",
+          "stalled");
+
   /** Returns the name under which retries for this reason are counted. */
   default String code() {
     return switch (this) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionHandler.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionHandler.java
@@ -19,6 +19,8 @@
     this.configuration = configuration;
     this.services = services;
     this.relay = relay;
+    AttemptFailure.CODES.forEach(code -> services.metrics().count("retried." + code, 0));
+    services.metrics().count("retried.hedge", 0);
   }
 
   /** Serves a completion. */
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/HeaderTimeout.java
@@ -0,0 +1,92 @@
+package org.dragonflyhill.daemon;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.AttributeKey;
+import io.netty.util.concurrent.Future;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.dragonflyhill.core.RefusalReason;
+
+/**
+ * Closes a connection whose caller takes too long to send the head of a request.
+ *
+ * <p>Runs before the HTTP decoder, so that it sees the first byte of a head. Used by the event loop
+ * of its connection only: one for each connection.
+ */
+final class HeaderTimeout extends ChannelInboundHandlerAdapter {
+
+  private static final AttributeKey<HeaderTimeout> KEY = AttributeKey.valueOf("header-timeout");
+  private static final String ANSWER =
+      "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
+  private final Duration timeout;
+  private final NodeMetrics metrics;
+  private boolean isBusy;
+  private Optional<Future<?>> timer = Optional.empty();
+
+  private HeaderTimeout(Duration timeout, NodeMetrics metrics) {
+    this.timeout = timeout;
+    this.metrics = metrics;
+  }
+
+  /** Watches a new connection. */
+  static void watch(Channel channel, Duration timeout, NodeMetrics metrics) {
+    HeaderTimeout handler = new HeaderTimeout(timeout, metrics);
+    channel.attr(KEY).set(handler);
+    channel.pipeline().addFirst(handler);
+  }
+
+  /** Notes that the head of a request was read. */
+  static void headRead(Channel channel) {
+    HeaderTimeout handler = channel.attr(KEY).get();
+    channel.eventLoop().execute(handler::begin);
+  }
+
+  /** Notes that a request was answered. */
+  static void answered(Channel channel) {
+    HeaderTimeout handler = channel.attr(KEY).get();
+    channel.eventLoop().execute(() -> handler.isBusy = false);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (!isBusy && timer.isEmpty()) {
+      timer =
+          Optional.of(
+              context
+                  .executor()
+                  .schedule(() -> expire(context), timeout.toMillis(), TimeUnit.MILLISECONDS));
+    }
+    context.fireChannelRead(message);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    cancel();
+    context.fireChannelInactive();
+  }
+
+  private void begin() {
+    isBusy = true;
+    cancel();
+  }
+
+  private void cancel() {
+    timer.ifPresent(future -> future.cancel(false));
+    timer = Optional.empty();
+  }
+
+  private void expire(ChannelHandlerContext context) {
+    timer = Optional.empty();
+    metrics.refused(RefusalReason.REQUEST_TIMEOUT);
+    context
+        .writeAndFlush(Unpooled.copiedBuffer(ANSWER, StandardCharsets.US_ASCII))
+        .addListener(ChannelFutureListener.CLOSE);
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.daemon;
 
+import io.netty.channel.Channel;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
@@ -79,9 +80,9 @@
             .port(settings.httpPort())
             .idleTimeout(IDLE_TIMEOUT)
             .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
-            .doOnChannelInit((observer, channel, address) -> connections.opened(channel))
+            .doOnChannelInit((observer, channel, address) -> opened(channel))
             .childObserve(this::observe)
-            .handle(this::handle)
+            .handle(this::watched)
             .bindNow();
   }
 
@@ -102,6 +103,19 @@
     }
   }
 
+  private void opened(Channel channel) {
+    connections.opened(channel);
+    HeaderTimeout.watch(channel, settings.bodyTimeout(), metrics);
+  }
+
+  private Publisher<Void> watched(HttpServerRequest request, HttpServerResponse response) {
+    request.withConnection(connection -> HeaderTimeout.headRead(connection.channel()));
+    return Mono.from(handle(request, response))
+        .doFinally(
+            signal ->
+                request.withConnection(connection -> HeaderTimeout.answered(connection.channel())));
+  }
+
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     return switch (request.uri().replaceAll("\\?.*", "")) {
       case "/livez" -> ReplyWriter.text(response, 200, "text/plain", "live\n");
--- a/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
@@ -207,6 +207,31 @@
     assertServesNext();
   }
 
+  @Test
+  public void slowHeadersAreRefusedAndConnectionClosed() throws IOException {
+    final long before = refused(RefusalReason.REQUEST_TIMEOUT);
+    try (Socket socket = connect()) {
+      send(socket, "POST /v1/completions HTTP/1.1\r\nHost:");
+      assertTrue(receive(socket).startsWith("HTTP/1.1 408"));
+      assertEquals(refused(RefusalReason.REQUEST_TIMEOUT), before + 1);
+      assertEquals(socket.getInputStream().read(), -1);
+    }
+    assertServesNext();
+  }
+
+  @Test
+  public void longAnswerIsNoSlowHead() throws IOException {
+    Reply whole = new Reply.Json(200, "{}");
+    answer = Mono.just(whole).delayElement(java.time.Duration.ofMillis(900));
+    try (Socket socket = connect()) {
+      for (int i = 0; i < 2; i++) {
+        send(socket, post(BODY));
+        assertTrue(receive(socket).startsWith("HTTP/1.1 200"));
+      }
+    }
+    assertEquals(refused(RefusalReason.REQUEST_TIMEOUT), 0);
+  }
+
   @Test
   public void connectionOverLimitIsToldAndClosed() throws IOException {
     final long before = refused(RefusalReason.TOO_MANY_CONNECTIONS);
--- a/proofs/src/test/java/org/dragonflyhill/proofs/RelayMeasurement.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/RelayMeasurement.java
@@ -14,9 +14,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.Collectors;
 import org.dragonflyhill.platform.Json;
 import org.dragonflyhill.platform.RunnerPort;
 import org.testng.annotations.AfterClass;
@@ -38,6 +40,7 @@
   private final HttpClient client = HttpClient.newHttpClient();
   private Deployment deployment;
   private ProcessHelper node;
+  private long nodeProcess;
 
   /** Starts a quick runner and a node. */
   @BeforeClass
@@ -47,7 +50,10 @@
         deployment.standin(
             "runner", "--slots=128", "--prefill-tokens-per-second=100000000", "--token-micros=1"));
     assertEquals(deployment.apply().exitCode(), 0);
+    Set<Long> before = children();
     node = deployment.startNode("node-a");
+    nodeProcess =
+        children().stream().filter(pid -> !before.contains(pid)).findFirst().orElseThrow();
   }
 
   /** Ends all processes. */
@@ -99,12 +105,13 @@
     }
   }
 
-  private static Duration nodeCpu() {
-    return ProcessHandle.current()
-        .children()
-        .filter(child -> child.info().commandLine().orElse("").contains("daemon.Main"))
-        .findFirst()
-        .flatMap(child -> child.info().totalCpuDuration())
+  private static Set<Long> children() {
+    return ProcessHandle.current().children().map(ProcessHandle::pid).collect(Collectors.toSet());
+  }
+
+  private Duration nodeCpu() {
+    return ProcessHandle.of(nodeProcess)
+        .flatMap(process -> process.info().totalCpuDuration())
         .orElseThrow();
   }
 
