Let refused requests not hold up a stop, and close the port first

Cause: a stopping node waited until no request ran at all, with those that it only refused; callers that ask again and again could hold it up to the longest stop, and the port closed at the same moment as the connections.

Ruled out: a quiet time without any request before closing (callers that never pause would hold it up just the same).

Change: the stop waits for requests that came before new ones were refused, then closes the listening port, and gives requests on their way a short time to get their refusal.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/DrainController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DrainController.java
@@ -31,7 +31,7 @@
 
   /** Notes the start of a request. */
   public Running begin(String requestId, Instant now) {
-    running.put(requestId, new Entry(now, new CopyOnWriteArrayList<>()));
+    running.put(requestId, new Entry(now, isRefusing(), new CopyOnWriteArrayList<>()));
     return () -> end(requestId);
   }
 
@@ -112,6 +112,16 @@
     };
   }
 
+  /**
+   * Completes when no request runs that came before new ones were refused. Those that are refused
+   * do not count: callers that ask again and again would hold up a stop forever.
+   */
+  public Mono<Void> whenServed() {
+    return Flux.interval(Duration.ZERO, POLL_INTERVAL)
+        .takeUntil(tick -> running.values().stream().allMatch(Entry::isRefused))
+        .then();
+  }
+
   /** Completes when no request runs. */
   public Mono<Void> whenIdle() {
     return Flux.interval(Duration.ZERO, POLL_INTERVAL).takeUntil(tick -> running.isEmpty()).then();
@@ -152,9 +162,10 @@
    * What is kept of a running request.
    *
    * @param startedAt when it began
+   * @param isRefused whether it came when new requests were refused
    * @param callbacks what to call at its end
    */
-  private record Entry(Instant startedAt, List<Runnable> callbacks) {}
+  private record Entry(Instant startedAt, boolean isRefused, List<Runnable> callbacks) {}
 
   /** Step in the life of a node. */
   private enum Phase {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
@@ -91,6 +91,11 @@
     return server.port();
   }
 
+  /** Takes no more connections; those that are open are served on. */
+  public void stopListening() {
+    server.dispose();
+  }
+
   @Override
   public void close() {
     server.disposeNow();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -39,7 +39,8 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
   private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(30);
   private static final Duration TELL_INTERVAL = Duration.ofSeconds(1);
-  private static final Duration ABORT_TIME = Duration.ofSeconds(5);
+  private static final Duration LAST_REQUESTS_TIME = Duration.ofMillis(300);
+  private static final Duration LAST_ANSWERS_TIME = Duration.ofSeconds(5);
   private static final Duration STARTED_POLL = Duration.ofMillis(50);
 
   private final Closer closer = new Closer();
@@ -158,8 +159,11 @@
     if (!isClean) {
       tell("node_stop_timed_out");
       drain.abort();
-      drain.whenIdle().timeout(ABORT_TIME, Mono.empty()).block();
     }
+    frontend.stopListening();
+    // Requests that were on their way still get their refusal.
+    Mono.delay(LAST_REQUESTS_TIME).block();
+    drain.whenIdle().timeout(LAST_ANSWERS_TIME, Mono.empty()).block();
     LogEvent.of("node_stopped").with("node", settings.node()).with("clean", isClean).info(LOGGER);
     close();
     return isClean;
@@ -169,7 +173,7 @@
     var telling = Flux.interval(TELL_INTERVAL).subscribe(tick -> tell("node_waiting"));
     try {
       return drain
-          .whenIdle()
+          .whenServed()
           .thenReturn(true)
           .timeout(settings.stopTimeout(), Mono.just(false))
           .block();
--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRelayTest.java
@@ -0,0 +1,71 @@
+package org.dragonflyhill.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflyhill.core.Refusal;
+import org.dragonflyhill.core.RefusalReason;
+import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.platform.RunnerPort;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Flux;
+
+/** Tests of {@link CompletionRelay}. */
+public final class CompletionRelayTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final AnswerEvent TEXT = new AnswerEvent.Text("a \"quoted\" word ");
+  private static final AnswerEvent WHOLE =
+      new AnswerEvent.Whole(new RunnerPort.Event.End("r", 1, 10, 4, 0, "stop"));
+  private static final AnswerEvent BROKEN =
+      new AnswerEvent.Broken(Refusal.unknown(RefusalReason.STREAM_CUT, "cut"));
+
+  private static Reply reply(boolean isStreamed, AnswerEvent... events) {
+    var headers =
+        new RequestContext.Headers(
+            Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+    var call = new Call.Completion("m", "prompt", 1, isStreamed, false);
+    var context =
+        new RequestContext("r", Instant.EPOCH, headers, call, Optional.empty(), Optional.empty());
+    return new CompletionRelay().reply(context, call, Flux.just(events)).block(TIMEOUT);
+  }
+
+  private static List<Reply.StreamEvent> streamed(AnswerEvent... events) {
+    return ((Reply.Stream) reply(true, events)).events().collectList().block(TIMEOUT);
+  }
+
+  @Test
+  public void wholeStreamEndsWithUsageAndWhole() {
+    List<Reply.StreamEvent> events = streamed(TEXT, WHOLE);
+    assertEquals(events.size(), 3);
+    JsonNode first = Json.readTree(((Reply.StreamEvent.Data) events.getFirst()).body()).get();
+    assertEquals(first.at("/choices/0/text").asText(), "a \"quoted\" word ");
+    JsonNode end = Json.readTree(((Reply.StreamEvent.Data) events.get(1)).body()).get();
+    assertEquals(end.at("/usage/completion_tokens").asInt(), 1);
+    assertEquals(events.getLast(), new Reply.StreamEvent.Whole());
+  }
+
+  @Test
+  public void brokenStreamNeverSaysThatItIsWhole() {
+    List<Reply.StreamEvent> events = streamed(TEXT, BROKEN);
+    assertTrue(events.getLast() instanceof Reply.StreamEvent.Broken, events.toString());
+    assertTrue(!events.contains(new Reply.StreamEvent.Whole()), events.toString());
+  }
+
+  @Test
+  public void brokenPlainAnswerIsProblemWithoutItsText() {
+    Reply.Problem problem = (Reply.Problem) reply(false, TEXT, BROKEN);
+    assertEquals(problem.refusal().reason(), RefusalReason.STREAM_CUT);
+  }
+
+  @Test
+  public void plainAnswerWithoutItsEndIsProblem() {
+    Reply.Problem problem = (Reply.Problem) reply(false, TEXT);
+    assertEquals(problem.refusal().reason(), RefusalReason.STREAM_CUT);
+  }
+}
--- a/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
@@ -307,6 +307,26 @@
     assertEquals(refused(RefusalReason.STREAM_CUT), before + 1);
   }
 
+  @Test
+  public void openConnectionIsServedAfterListeningEnded() throws IOException {
+    try (Socket socket = connect()) {
+      send(socket, post(BODY));
+      receive(socket);
+      frontend.stopListening();
+      Awaitility.await().until(() -> !canConnect());
+      send(socket, post(BODY));
+      assertTrue(receive(socket).startsWith("HTTP/1.1 200"));
+    }
+  }
+
+  private boolean canConnect() {
+    try (Socket socket = connect()) {
+      return socket.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   @Test
   public void abortEndsRunningRequestWithExplicitError() throws IOException {
     answer = Mono.never();
