--- a/core/src/main/java/org/dragonflyhill/core/RefusalReason.java
+++ b/core/src/main/java/org/dragonflyhill/core/RefusalReason.java
@@ -30,6 +30,10 @@
   OUTCOME_UNKNOWN(409),
   /** The request ran, and its answer was too large to be kept or is lost. */
   ANSWER_NOT_KEPT(409),
+  /** The request line or the headers are too large or no HTTP. */
+  MALFORMED_HTTP(400),
+  /** Too many connections are open on this node. */
+  TOO_MANY_CONNECTIONS(503),
   /** The body is larger than allowed. */
   BODY_TOO_LARGE(413),
   /** The organisation has used up its limit. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import org.dragonflyhill.core.ConfigurationObject;
@@ -21,6 +22,7 @@
   private final ClaimAdmin claims;
   private final DrainController drain;
   private final PeerController peers;
+  private final InstantSource clock;
   private final DisposableServer server;
 
   /** Starts to listen. */
@@ -30,12 +32,14 @@
       ClaimAdmin claims,
       DrainController drain,
       DecisionJournal journal,
-      PeerController peers) {
+      PeerController peers,
+      InstantSource clock) {
     this.settings = settings;
     this.configuration = configuration;
     this.claims = claims;
     this.drain = drain;
     this.peers = peers;
+    this.clock = clock;
     server =
         HttpServer.create()
             .host(settings.host())
@@ -82,7 +86,8 @@
         drain.runningRequests(),
         drain.notReadyReason(),
         peers.port(),
-        configuration.problem());
+        configuration.problem(),
+        drain.oldest(clock.instant()));
   }
 
   private Configuration configuration() {
@@ -133,6 +138,7 @@
    * @param notReadyReason why it is not ready; empty if it is
    * @param peerPort port for other nodes
    * @param configurationProblem why it cannot follow the configuration; empty if it can
+   * @param oldestRequests running requests, oldest first, at most a few
    */
   public record Status(
       String node,
@@ -142,7 +148,8 @@
       int runningRequests,
       Optional<String> notReadyReason,
       int peerPort,
-      Optional<String> configurationProblem) {}
+      Optional<String> configurationProblem,
+      List<DrainController.RunningRequest> oldestRequests) {}
 
   /**
    * What this node knows of another, or of itself.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimRunner.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimRunner.java
@@ -51,7 +51,7 @@
   /** Holds a planned stop while a request is claimed and run, whether its caller waits or not. */
   Mono<Reply> hold(RequestContext context, Mono<Reply> reply) {
     return Mono.using(
-        () -> drain.begin(context.requestId() + "/claim"),
+        () -> drain.begin(context.requestId() + "/claim", clock.instant()),
         running -> reply,
         DrainController.Running::close);
   }
@@ -60,7 +60,7 @@
   Mono<Reply> run(RequestContext context, RequestFilter.Handler next, ClaimController.Claim claim) {
     fault.reach(ClaimStep.AFTER_CLAIM_WON);
     DispatchPermit permit = () -> mayDispatch(claim);
-    DrainController.Running running = drain.begin(claim.entry().claimId());
+    DrainController.Running running = drain.begin(claim.entry().claimId(), clock.instant());
     Mono<Reply> reply =
         claims.mayDispatch(claim, clock.instant(), System.nanoTime())
             ? Mono.defer(() -> next.handle(context))
--- a/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -32,6 +32,7 @@
  * @param claimStepFault fault switch of tests
  * @param readLease longest time from the choice of a stored piece to the end of its read
  * @param sweepInterval time between sweeps of a store
+ * @param stopTimeout how long a stopping node waits for running requests after that
  */
 public record DaemonSettings(
     String node,
@@ -51,7 +52,8 @@
     Duration snapshotAge,
     ClaimStepFault claimStepFault,
     Duration readLease,
-    Duration sweepInterval) {
+    Duration sweepInterval,
+    Duration stopTimeout) {
 
   private static final int MIN_SECRET_LENGTH = 16;
   private static final int MAX_PORT = 65_535;
@@ -98,7 +100,11 @@
               "read-lease-millis",
               "30000",
               "longest time from the choice of a stored piece to the end of its read"),
-          SettingSpec.optional("sweep-interval-millis", "30000", "time between sweeps of a store"));
+          SettingSpec.optional("sweep-interval-millis", "30000", "time between sweeps of a store"),
+          SettingSpec.optional(
+              "stop-timeout-millis",
+              "120000",
+              "time for which a stopping node then waits for running requests, in milliseconds"));
 
   /** Reads the settings; what is wrong is in {@link SettingValues#faults()} afterwards. */
   public static DaemonSettings from(SettingValues values) {
@@ -120,7 +126,8 @@
         values.millis("snapshot-age-millis"),
         claimStepFault(values),
         values.millis("read-lease-millis"),
-        values.millis("sweep-interval-millis"));
+        values.millis("sweep-interval-millis"),
+        values.millis("stop-timeout-millis"));
   }
 
   /** Returns when this node appends snapshots of the configuration. */
--- a/daemon/src/test/java/org/dragonflyhill/daemon/PeerControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/PeerControllerTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.awaitility.Awaitility;
@@ -19,6 +20,7 @@
 import org.dragonflyhill.platform.HostListPort;
 import org.dragonflyhill.platform.LogPort;
 import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.platform.SettingValues;
 import org.dragonflyhill.platform.StateText;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -175,23 +177,21 @@
   }
 
   private static DaemonSettings settings(String name, String secret) {
-    Duration second = Duration.ofSeconds(1);
-    return new DaemonSettings(
-        name,
-        "rancagua",
-        "127.0.0.1",
-        0,
-        0,
-        0,
-        "127.0.0.1:1",
-        "127.0.0.1:1",
-        secret,
-        1_024,
-        1,
-        second,
-        second,
-        second,
-        Duration.ofMinutes(30));
+    String[] flags = {
+      "--node=" + name,
+      "--zone=rancagua",
+      "--http-port=0",
+      "--admin-port=0",
+      "--peer-port=0",
+      "--log=127.0.0.1:10",
+      "--host-list=127.0.0.1:10",
+      "--secret=" + secret,
+      "--platform-timeout-millis=1000"
+    };
+    SettingValues values = SettingValues.read(DaemonSettings.SPECS, flags, Map.of());
+    DaemonSettings settings = DaemonSettings.from(values);
+    assertEquals(values.faults(), List.of());
+    return settings;
   }
 
   private static final class LogThatIsDown implements LogPort {
--- a/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
@@ -105,12 +105,7 @@
       return ProcessHelper.run(
           org.dragonflyhill.cli.Main.class,
           List.of(
-              "apply",
-              file.toString(),
-              "--log",
-              log.address("port"),
-              "--timeout-seconds",
-              "60"));
+              "apply", file.toString(), "--log", log.address("port"), "--timeout-seconds", "60"));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
