Count what the other nodes send between two load reports

Cause: with load reports 10 s late and 10 s apart the estimate knew only this node's own quarter of what was sent since, and slots taken at the report stayed taken. Ruled out: the choice itself, which was right for the loads it was given. Change: LoadEstimate counts its own requests once for each node, as the balancer spreads evenly, and frees slots at the rate of their mean time.

--- a/core/src/main/java/org/dragonflyhill/core/LoadEstimate.java
+++ b/core/src/main/java/org/dragonflyhill/core/LoadEstimate.java
@@ -10,11 +10,11 @@
  * node sent it since.
  *
  * <p>A report tells the prompt tokens that the runner had still to compute and how many of its
- * slots were taken. What this node sent later is added, and what the runner computed in the
- * meantime is taken off.
+ * slots were taken. What this node sent later is added, once for each node that sends alike, and
+ * what the runner did in the meantime is taken off.
  *
  * <pre>{@code
- * LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(48, 10_000));
+ * LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(48, 10_000, 4));
  * load.report(new LoadEstimate.Report(31, 0, 12_000, reportedAt));
  * load.sent(2_500, false, sentAt);
  * Duration wait = load.queueWait(false, Duration.ofSeconds(4), now);
@@ -62,7 +62,7 @@
    * @param now present time
    */
   public Duration queueWait(boolean isUrgent, Duration slotTime, Instant now) {
-    double seconds = prefillSeconds(isUrgent, now) + slotSeconds(isUrgent, slotTime);
+    double seconds = prefillSeconds(isUrgent, now) + slotSeconds(isUrgent, slotTime, now);
     return Duration.ofNanos((long) (seconds * 1e9));
   }
 
@@ -71,7 +71,7 @@
     Instant at = report.at();
     for (Sent one : sent) {
       if (!isUrgent || one.isUrgent()) {
-        tokens = drained(tokens, at, one.at()) + one.computeTokens();
+        tokens = drained(tokens, at, one.at()) + (double) one.computeTokens() * speed.senders();
         at = one.at();
       }
     }
@@ -83,11 +83,14 @@
     return Math.max(0, tokens - seconds * speed.prefillTokensPerSecond());
   }
 
-  private double slotSeconds(boolean isUrgent, Duration slotTime) {
+  private double slotSeconds(boolean isUrgent, Duration slotTime, Instant now) {
+    double slotSeconds = slotTime.toNanos() / 1e9;
+    double age = Duration.between(report.at(), now).toNanos() / 1e9;
+    double freed = age * speed.slots() / slotSeconds;
     int queued = isUrgent ? 0 : report.queued();
-    int taken = report.running() + queued + sent.size();
-    int ahead = Math.max(0, taken + 1 - speed.slots());
-    return ahead * slotTime.toNanos() / 1e9 / speed.slots();
+    double taken = report.running() + queued + (double) sent.size() * speed.senders();
+    double ahead = Math.max(0, taken - freed + 1 - speed.slots());
+    return ahead * slotSeconds / speed.slots();
   }
 
   /**
@@ -95,8 +98,9 @@
    *
    * @param slots requests that it runs at once
    * @param prefillTokensPerSecond prompt tokens that it computes a second
+   * @param senders nodes that send it about as much as this one, which is counted too
    */
-  public record Speed(int slots, long prefillTokensPerSecond) {}
+  public record Speed(int slots, long prefillTokensPerSecond, int senders) {}
 
   /**
    * Load of a runner at a time.
--- a/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
@@ -13,7 +13,7 @@
   private static final Duration SLOT_TIME = Duration.ofSeconds(4);
 
   private static LoadEstimate reported(int running, int queued, long tokens) {
-    LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(2, 1_000));
+    LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(2, 1_000, 1));
     load.report(new LoadEstimate.Report(running, queued, tokens, START));
     return load;
   }
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/NodeView.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/NodeView.java
@@ -35,7 +35,8 @@
   NodeView(String zone, Deployment deployment) {
     this.zone = zone;
     Deployment.Engine engine = deployment.engine();
-    var speed = new LoadEstimate.Speed(engine.slots(), engine.prefillTokensPerSecond());
+    var speed =
+        new LoadEstimate.Speed(engine.slots(), engine.prefillTokensPerSecond(), deployment.nodes());
     for (int runner = 0; runner < deployment.runners(); runner++) {
       estimates.add(new LoadEstimate(speed));
       loads.add(new FakeRunner.Load(0, 0, 0, 0));
