--- /dev/null
+++ b/bench/src/main/java/org/dragonflyhill/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the decision logic. Ships apart from the product. */
+package org.dragonflyhill.bench;
