Leave slots of each runner to urgent work

Ruled out: prefill, which serves urgent work first. Change: LoadEstimate counts reserved slots as taken for ordinary work; the longest expected wait of ordinary work is a setting of the deployment.

--- a/core/src/main/java/org/dragonflyhill/core/LoadEstimate.java
+++ b/core/src/main/java/org/dragonflyhill/core/LoadEstimate.java
@@ -14,7 +14,7 @@
  * what the runner did in the meantime is taken off.
  *
  * <pre>{@code
- * LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(48, 10_000, 4));
+ * LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(48, 6, 10_000, 4));
  * load.report(new LoadEstimate.Report(31, 0, 12_000, reportedAt));
  * load.sent(2_500, false, sentAt);
  * Duration wait = load.queueWait(false, Duration.ofSeconds(4), now);
@@ -89,7 +89,8 @@
     double freed = age * speed.slots() / slotSeconds;
     int queued = isUrgent ? 0 : report.queued();
     double taken = report.running() + queued + (double) sent.size() * speed.senders();
-    double ahead = Math.max(0, taken - freed + 1 - speed.slots());
+    int usable = isUrgent ? speed.slots() : speed.slots() - speed.reservedSlots();
+    double ahead = Math.max(0, taken - freed + 1 - usable);
     return ahead * slotSeconds / speed.slots();
   }
 
@@ -97,10 +98,11 @@
    * What a runner can do.
    *
    * @param slots requests that it runs at once
+   * @param reservedSlots slots of these that ordinary work is to leave to urgent work
    * @param prefillTokensPerSecond prompt tokens that it computes a second
    * @param senders nodes that send it about as much as this one, which is counted too
    */
-  public record Speed(int slots, long prefillTokensPerSecond, int senders) {}
+  public record Speed(int slots, int reservedSlots, long prefillTokensPerSecond, int senders) {}
 
   /**
    * Load of a runner at a time.
--- a/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
@@ -13,7 +13,7 @@
   private static final Duration SLOT_TIME = Duration.ofSeconds(4);
 
   private static LoadEstimate reported(int running, int queued, long tokens) {
-    LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(2, 1_000, 1));
+    LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(2, 1, 1_000, 1));
     load.report(new LoadEstimate.Report(running, queued, tokens, START));
     return load;
   }
@@ -42,6 +42,13 @@
     assertEquals(wait, Duration.ofMillis(500));
   }
 
+  @Test
+  public void ordinaryWorkWaitsForReservedSlot() {
+    LoadEstimate load = reported(1, 0, 0);
+    assertEquals(load.queueWait(false, SLOT_TIME, START), Duration.ofSeconds(2));
+    assertEquals(load.queueWait(true, SLOT_TIME, START), Duration.ZERO);
+  }
+
   @Test
   public void urgentWorkDoesNotWaitForOrdinaryPrefill() {
     LoadEstimate load = reported(0, 0, 5_000);
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/Deployment.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Deployment.java
@@ -19,6 +19,8 @@
  * @param storeBytes bytes that a store holds
  * @param storeLinkBytesPerSecond bandwidth of a store's link
  * @param nodes number of entry hosts
+ * @param reservedSlots slots of each runner that ordinary work leaves to urgent work
+ * @param ordinaryWaitLimit expected wait beyond which the product refuses ordinary work
  * @param weights what the product's placement is told to prefer
  * @param tasks kinds of requests
  */
@@ -33,6 +35,8 @@
     long storeBytes,
     long storeLinkBytesPerSecond,
     int nodes,
+    int reservedSlots,
+    Duration ordinaryWaitLimit,
     Placement.Weights weights,
     List<Task> tasks) {
 
@@ -54,6 +58,8 @@
           STORE_BYTES,
           STORE_LINK_BYTES_PER_SECOND,
           4,
+          12,
+          Duration.ofMillis(700),
           new Placement.Weights(1, 0.3),
           List.of(
               task("alert", true, true, 0.30, 1, 3, 100, 300, 16, 3),
@@ -75,6 +81,8 @@
           STORE_BYTES,
           STORE_LINK_BYTES_PER_SECOND,
           4,
+          0,
+          Duration.ofSeconds(3),
           new Placement.Weights(1, 2),
           List.of(
               task("check", true, true, 0.10, 2, 4, 100, 300, 4, 5),
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
@@ -34,13 +34,13 @@
           SettingSpec.optional("out", "target/measure.jsonl", "file of JSON lines to write"),
           SettingSpec.optional("plots", "", "folder to write plots to"));
 
-  private final List<Policy> policies;
+  private final Optional<String> onlyPolicy;
   private final int seed;
   private final TraceGenerator.Shape shape;
   private final List<Row> rows = new ArrayList<>();
 
-  private MeasureMain(int seed, TraceGenerator.Shape shape, List<Policy> policies) {
-    this.policies = policies;
+  private MeasureMain(int seed, TraceGenerator.Shape shape, Optional<String> onlyPolicy) {
+    this.onlyPolicy = onlyPolicy;
     this.seed = seed;
     this.shape = shape;
   }
@@ -62,7 +62,7 @@
       System.exit(EXIT_USAGE);
     }
     var shape = new TraceGenerator.Shape(Duration.ofSeconds(isFull ? 180 : 60), isFull ? 2 : 1);
-    MeasureMain measure = new MeasureMain(seed, shape, policies(values));
+    MeasureMain measure = new MeasureMain(seed, shape, values.optionalText("policy"));
     Optional<String> toWrite = values.optionalText("write-trace");
     if (toWrite.isPresent()) {
       measure.trace(deployments.getFirst(), FAULT_LOAD).write(Path.of(toWrite.get()));
@@ -92,10 +92,9 @@
     return chosen;
   }
 
-  private static List<Policy> policies(SettingValues values) {
-    Optional<String> name = values.optionalText("policy");
-    return Policy.all().stream()
-        .filter(one -> name.isEmpty() || one.name().equals(name.get()))
+  private List<Policy> policies(Deployment deployment) {
+    return Policy.all(deployment).stream()
+        .filter(one -> onlyPolicy.isEmpty() || one.name().equals(onlyPolicy.get()))
         .toList();
   }
 
@@ -111,21 +110,24 @@
         Table.HEADER);
     for (double load : LOADS) {
       Trace trace = trace(deployment, load);
-      policies.forEach(policy -> replay(deployment, policy, trace, load, Fault.NONE));
+      policies(deployment).forEach(policy -> replay(deployment, policy, trace, load, Fault.NONE));
     }
     Trace trace = trace(deployment, FAULT_LOAD);
     for (Fault fault : Fault.values()) {
       if (fault != Fault.NONE) {
-        faultPolicies().forEach(policy -> replay(deployment, policy, trace, FAULT_LOAD, fault));
+        faultPolicies(deployment)
+            .forEach(policy -> replay(deployment, policy, trace, FAULT_LOAD, fault));
       }
     }
   }
 
-  private List<Policy> faultPolicies() {
+  private List<Policy> faultPolicies(Deployment deployment) {
     boolean isFull = shape.peaks() > 1;
     return isFull
-        ? policies
-        : policies.stream().filter(one -> QUICK_FAULT_POLICIES.contains(one.name())).toList();
+        ? policies(deployment)
+        : policies(deployment).stream()
+            .filter(one -> QUICK_FAULT_POLICIES.contains(one.name()))
+            .toList();
   }
 
   private void recorded(Deployment deployment, Path file, SettingValues values) {
@@ -139,9 +141,10 @@
     List<TraceRequest> requests = trace.get().requests();
     long last = requests.isEmpty() ? 0 : requests.getLast().arrivalMillis();
     Duration length = peak > 0 ? Duration.ofSeconds(peak) : Duration.ofMillis(last - from + 1);
-    var recorded = new MeasureMain(seed, new TraceGenerator.Shape(length, 1), policies);
+    var recorded = new MeasureMain(seed, new TraceGenerator.Shape(length, 1), onlyPolicy);
     System.out.println(Table.HEADER);
-    policies.forEach(policy -> recorded.replay(deployment, policy, trace.get(), 0, Fault.NONE));
+    policies(deployment)
+        .forEach(policy -> recorded.replay(deployment, policy, trace.get(), 0, Fault.NONE));
     rows.addAll(recorded.rows);
   }
 
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/NodeView.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/NodeView.java
@@ -36,7 +36,11 @@
     this.zone = zone;
     Deployment.Engine engine = deployment.engine();
     var speed =
-        new LoadEstimate.Speed(engine.slots(), engine.prefillTokensPerSecond(), deployment.nodes());
+        new LoadEstimate.Speed(
+            engine.slots(),
+            deployment.reservedSlots(),
+            engine.prefillTokensPerSecond(),
+            deployment.nodes());
     for (int runner = 0; runner < deployment.runners(); runner++) {
       estimates.add(new LoadEstimate(speed));
       loads.add(new FakeRunner.Load(0, 0, 0, 0));
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/Policy.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Policy.java
@@ -16,26 +16,26 @@
     String name, RoutingPolicy routing, AdmissionPolicy admission, KeepDecision keep) {
 
   /** The policies that are compared, the rivals first and the bound last. */
-  public static List<Policy> all() {
+  public static List<Policy> all(Deployment deployment) {
     return List.of(
         rival("round_robin", new RoutingPolicy.RoundRobin()),
         rival("least_loaded", new RoutingPolicy.LeastLoaded()),
         rival("prefix_affinity", new RoutingPolicy.PrefixAffinity()),
         rival("former", new RoutingPolicy.Former()),
-        product(),
+        product(deployment),
         new Policy(
             "offline_bound",
             new RoutingPolicy.OfflineBound(),
-            new AdmissionPolicy.EarlyRefusal(),
+            new AdmissionPolicy.EarlyRefusal(deployment.ordinaryWaitLimit()),
             new KeepDecision.Nothing()));
   }
 
   /** Returns the product's policy. */
-  public static Policy product() {
+  public static Policy product(Deployment deployment) {
     return new Policy(
         "product",
         new RoutingPolicy.Product(),
-        new AdmissionPolicy.EarlyRefusal(),
+        new AdmissionPolicy.EarlyRefusal(deployment.ordinaryWaitLimit()),
         new KeepDecision.TwoCopies());
   }
 
--- a/standins/src/test/java/org/dragonflyhill/standins/replay/ReplayTest.java
+++ b/standins/src/test/java/org/dragonflyhill/standins/replay/ReplayTest.java
@@ -16,7 +16,10 @@
   private static Row replay(String name, Fault fault) {
     Deployment deployment = Deployment.STRUNOVA;
     Policy policy =
-        Policy.all().stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
+        Policy.all(deployment).stream()
+            .filter(one -> one.name().equals(name))
+            .findFirst()
+            .orElseThrow();
     Trace trace = new TraceGenerator(deployment, SHAPE, new Random(3)).generate(0.5);
     var setting = new Row.Setting(deployment.name(), name, 0.5, fault.label());
     return new Replay(deployment, policy, trace, SHAPE, fault, new Random(3)).run(setting);
