Choose at random among runners that cost about the same

Cause: equal runners were told apart by name, so that nodes with late views sent to the same one. Ruled out: sampling two of eight runners, which can miss the holder of the prefix. Change: Placement.choose takes randomness and picks among choices within 20 ms of the cheapest.

--- a/core/src/main/java/org/dragonflyhill/core/Placement.java
+++ b/core/src/main/java/org/dragonflyhill/core/Placement.java
@@ -4,6 +4,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.random.RandomGenerator;
 
 /**
  * Chooses the runner of a request by the estimated time to first token and the work recomputed.
@@ -16,6 +18,8 @@
  */
 public final class Placement {
 
+  private static final double TIE_SECONDS = 0.02;
+
   private final Weights weights;
 
   /** Creates a placement with the weights of a rule. */
@@ -30,6 +34,23 @@
         .min(Comparator.comparingDouble(Choice::cost).thenComparing(Choice::runner));
   }
 
+  /**
+   * Returns a random one of the choices that cost about as little as the cheapest, so that nodes
+   * with late views do not all send to the same runner; empty where there is no candidate.
+   */
+  public Optional<Choice> choose(
+      Request request, List<Candidate> candidates, RandomGenerator random) {
+    List<Choice> choices =
+        candidates.stream().map(candidate -> evaluate(request, candidate)).toList();
+    OptionalDouble least = choices.stream().mapToDouble(Choice::cost).min();
+    if (least.isEmpty()) {
+      return Optional.empty();
+    }
+    double limit = least.getAsDouble() + TIE_SECONDS * weights.firstToken();
+    List<Choice> near = choices.stream().filter(choice -> choice.cost() <= limit).toList();
+    return Optional.of(near.get(random.nextInt(near.size())));
+  }
+
   private Choice evaluate(Request request, Candidate candidate) {
     Choice recompute = choice(request, candidate, 0);
     if (candidate.importableTokens() <= 0) {
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/Router.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Router.java
@@ -119,7 +119,7 @@
       candidates.add(candidate(runner, view, request, nowMicros));
     }
     return new Placement(deployment.weights())
-        .choose(placementRequest(request), candidates)
+        .choose(placementRequest(request), candidates, random)
         .map(choice -> chosen(choice, view, request, nowMicros));
   }
 
