Take the capacity of a trace from a trace of the same shape

Ruled out: a dry pool of histories, the first visits being kept. Change: the capacity is that of a probe trace of the same peaks at 20 requests/s.

--- a/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
@@ -103,7 +103,7 @@
         Locale.ROOT,
         "%n%s: capacity %.1f requests/s, seed %d, peaks %d x %d s%n%s%n",
         deployment.name(),
-        TraceGenerator.capacity(deployment),
+        TraceGenerator.capacity(deployment, shape),
         seed,
         shape.peaks(),
         shape.peak().toSeconds(),
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/TraceGenerator.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/TraceGenerator.java
@@ -30,7 +30,7 @@
   private static final long LEAST_RETURN_MILLIS = Duration.ofMinutes(1).toMillis();
   private static final double NEW_HISTORY_SHARE = 0.06;
   private static final int HISTORY_SECONDS = 150;
-  private static final int PROBE_REQUESTS = 4_000;
+  private static final int PROBE_RATE = 20;
   private static final int RETURN_ATTEMPTS = 20;
 
   private final Deployment deployment;
@@ -48,7 +48,19 @@
 
   /** Returns a trace whose peaks reach a part of the capacity, such as 0.8. */
   public Trace generate(double load) {
-    double rate = load * capacity(deployment);
+    return build(load * capacity(deployment, shape));
+  }
+
+  /**
+   * Returns the capacity in requests a second: the rate at which either prefill of never seen
+   * tokens or the slots of all runners are fully used in the peaks.
+   */
+  public static double capacity(Deployment deployment, Shape shape) {
+    var probe = new TraceGenerator(deployment, shape, new java.util.Random(0));
+    return probe.capacityFor(probe.build(PROBE_RATE));
+  }
+
+  private Trace build(double rate) {
     int firstVisits = (int) (rate * HISTORY_SECONDS);
     for (int visit = 0; visit < firstVisits; visit++) {
       visitNew(WARM_UP_MILLIS * visit / firstVisits);
@@ -62,30 +74,18 @@
     return new Trace(requests, WARM_UP_MILLIS);
   }
 
-  /**
-   * Returns the capacity in requests a second: the rate at which either prefill of never seen
-   * tokens or the slots of all runners are fully used.
-   */
-  public static double capacity(Deployment deployment) {
-    var probe =
-        new TraceGenerator(
-            deployment, new Shape(Duration.ofSeconds(PROBE_REQUESTS), 1), new java.util.Random(0));
-    for (int visit = 0; visit < PROBE_REQUESTS; visit++) {
-      probe.visitNew(0);
-    }
-    probe.requests.clear();
-    probe.peak(WARM_UP_MILLIS, 1);
-    return probe.capacityOfRequests();
-  }
-
-  private double capacityOfRequests() {
+  private double capacityFor(Trace trace) {
     Set<String> seen = new HashSet<>();
-    histories.forEach(history -> seen.addAll(history.pieces.subList(0, history.firstPieces)));
+    int measured = 0;
     long unseenTokens = 0;
     long slotMicros = 0;
     Deployment.Engine engine = deployment.engine();
-    for (TraceRequest request : requests) {
+    for (TraceRequest request : trace.requests()) {
       long pieces = request.pieces().stream().filter(seen::add).count();
+      if (request.arrivalMillis() < trace.measureFromMillis()) {
+        continue;
+      }
+      measured++;
       long unseen = pieces * TraceRequest.PIECE_TOKENS + request.tailTokens();
       unseenTokens += unseen;
       slotMicros +=
@@ -93,12 +93,8 @@
               + request.outputTokens() * engine.tokenMicros(engine.slots());
     }
     double prefill =
-        (double) deployment.runners()
-            * engine.prefillTokensPerSecond()
-            * requests.size()
-            / unseenTokens;
-    double slots =
-        1e6 * deployment.runners() * engine.slots() * requests.size() / (double) slotMicros;
+        (double) deployment.runners() * engine.prefillTokensPerSecond() * measured / unseenTokens;
+    double slots = 1e6 * deployment.runners() * engine.slots() * measured / (double) slotMicros;
     return Math.min(prefill, slots);
   }
 
@@ -149,7 +145,6 @@
     while (history.pieces.size() < pieces) {
       history.grow();
     }
-    history.firstPieces = pieces;
     histories.add(history);
     request(history, nowMillis);
   }
@@ -204,7 +199,6 @@
     private final String organisation;
     private final Task task;
     private final List<String> pieces = new ArrayList<>();
-    private int firstPieces;
     private int carriedTokens;
     private long lastMillis;
 
