--- a/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
@@ -13,7 +13,12 @@
   private static final Duration SLOT_TIME = Duration.ofSeconds(4);
 
   private static LoadEstimate reported(int running, int queued, long tokens) {
-    LoadEstimate load = new LoadEstimate(new LoadEstimate.Speed(2, 1_000));
+    return reported(new LoadEstimate.Speed(2, 0, 1_000, 1), running, queued, tokens);
+  }
+
+  private static LoadEstimate reported(
+      LoadEstimate.Speed speed, int running, int queued, long tokens) {
+    LoadEstimate load = new LoadEstimate(speed);
     load.report(new LoadEstimate.Report(running, queued, tokens, START));
     return load;
   }
@@ -42,6 +47,13 @@
     assertEquals(wait, Duration.ofMillis(500));
   }
 
+  @Test
+  public void ordinaryWorkWaitsForReservedSlot() {
+    LoadEstimate load = reported(new LoadEstimate.Speed(2, 1, 1_000, 1), 1, 0, 0);
+    assertEquals(load.queueWait(false, SLOT_TIME, START), Duration.ofSeconds(2));
+    assertEquals(load.queueWait(true, SLOT_TIME, START), Duration.ZERO);
+  }
+
   @Test
   public void urgentWorkDoesNotWaitForOrdinaryPrefill() {
     LoadEstimate load = reported(0, 0, 5_000);
