--- a/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
@@ -278,7 +278,8 @@
 
   @Test
   public void sweepsWhatDeadNodeLeftBetweenObjectAndManifest() {
-    storeFaults("{\"link_bytes_per_second\":1000}");
+    // The write lands after the node died, which therefore neither lists nor deletes the object.
+    storeFaults("{\"write_delay_millis\":1500}");
     String prompt = prompt();
     complete(prompt);
     awaitMetric("export.started", 1);
