--- a/daemon/src/main/java/org/dragonflyhill/daemon/AuthenticationFilter.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AuthenticationFilter.java
@@ -34,9 +34,7 @@
   }
 
   private Optional<Organisation> byHash(String hash) {
-    return configuration.state().all(Organisation.class).stream()
-        .filter(organisation -> organisation.keyHashes().contains(hash))
-        .findFirst();
+    return configuration.view().organisationByKeyHash(hash);
   }
 
   private static Mono<Reply> problem(RefusalReason reason, String detail) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClassificationFilter.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClassificationFilter.java
@@ -42,10 +42,7 @@
 
   private Either<Refusal, RequestContext.Treatment> classify(RequestContext context) {
     String task = context.headers().task().orElse(DEFAULT_TASK);
-    Optional<Rule> rule =
-        configuration.state().all(Rule.class).stream()
-            .filter(candidate -> candidate.task().equals(task))
-            .findFirst();
+    Optional<Rule> rule = configuration.view().ruleOf(task);
     if (rule.isEmpty() && context.headers().task().isPresent()) {
       return Either.left(
           Refusal.notRun(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
@@ -90,7 +90,7 @@
   }
 
   private Flux<Sourced> sources(PlacementController.Placed placed) {
-    Flux<Sourced> primary = stream(placed);
+    Flux<Sourced> primary = stream(placed, attempts == 1 ? "first" : "retry");
     if (attempts > 1 || !isHedgeable()) {
       return primary;
     }
@@ -116,7 +116,7 @@
       return Flux.never();
     }
     services.metrics().retried("hedge");
-    return stream(other.get())
+    return stream(other.get(), "hedge")
         .switchOnFirst(
             (first, all) ->
                 first.hasValue() && first.get().event() instanceof RunnerPort.Event.Failed
@@ -124,12 +124,16 @@
                     : all);
   }
 
-  private Flux<Sourced> stream(PlacementController.Placed placed) {
+  private Flux<Sourced> stream(PlacementController.Placed placed, String reason) {
     String runner = placed.runner().name();
     return services
         .runners()
         .complete(placed.runner().address(), request(placed))
-        .doOnSubscribe(subscription -> services.endpoints().began(runner))
+        .doOnSubscribe(
+            subscription -> {
+              services.endpoints().began(runner);
+              services.journal().placed(context.requestId(), placed.choice(), reason);
+            })
         .doFinally(signal -> services.endpoints().ended(runner))
         .map(event -> new Sourced(placed, event));
   }
@@ -197,7 +201,7 @@
       return;
     }
     services.endpoints().succeeded(placed.runner().name());
-    services.placement().served(placed);
+    services.placement().served(placed, end.importedTokens());
     isEnded = true;
     sink.next(new AnswerEvent.Whole(end));
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionServices.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionServices.java
@@ -15,6 +15,7 @@
  * @param budget limits retries and hedges
  * @param hedgeDelay computes when to hedge
  * @param metrics counts retries
+ * @param journal remembers where requests were sent
  * @param random spreads retries; safe for many threads
  * @param clock present time
  */
@@ -25,5 +26,6 @@
     RetryBudget budget,
     HedgeDelay hedgeDelay,
     NodeMetrics metrics,
+    DecisionJournal journal,
     RandomGenerator random,
     InstantSource clock) {}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ConfigurationController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ConfigurationController.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.Logger;
 import org.dragonflyhill.core.ConfigurationObject;
 import org.dragonflyhill.core.ConfigurationState;
+import org.dragonflyhill.core.ConfigurationView;
 import org.dragonflyhill.core.ObjectKey;
 import org.dragonflyhill.core.ObjectKind;
 import org.dragonflyhill.core.SnapshotPolicy;
@@ -43,6 +44,7 @@
   private volatile ConfigurationState state = ConfigurationState.empty();
   private volatile Optional<String> problem = Optional.empty();
   private volatile boolean isLogReadable;
+  private volatile ConfigurationView view = ConfigurationView.of(state);
   private volatile StateText text = StateText.of(state);
   private int changesSinceSnapshot;
   private long snapshotOffset;
@@ -87,6 +89,19 @@
     return state;
   }
 
+  /** Returns a view of the configuration in force that answers what requests ask. */
+  public ConfigurationView view() {
+    ConfigurationState current = state;
+    ConfigurationView known = view;
+    if (known.state() == current) {
+      return known;
+    }
+    // Made when asked for, once a state, since a start folds thousands of states.
+    ConfigurationView fresh = ConfigurationView.of(current);
+    view = fresh;
+    return fresh;
+  }
+
   /** Returns the configuration in force as text with its digest. */
   public StateText text() {
     ConfigurationState current = state;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -145,9 +145,19 @@
     final var links = new LinkController();
     final var exports =
         closer.add(new ExportController(storeIndex, sweeps, caches, stores, links, metrics, clock));
+    final DecisionJournal journal = new DecisionJournal();
+    final var random = new Random();
     final var placement =
         new PlacementController(
-            configuration, endpoints, cache, storeIndex, exports, links, metrics, pieceKeys);
+            configuration,
+            endpoints,
+            cache,
+            storeIndex,
+            exports,
+            links,
+            metrics,
+            pieceKeys,
+            random);
     final var completions =
         new CompletionHandler(
             configuration,
@@ -158,7 +168,8 @@
                 new RetryBudget(),
                 new HedgeDelay(),
                 metrics,
-                new Random(),
+                journal,
+                random,
                 clock),
             new CompletionRelay());
     final var services =
@@ -185,7 +196,6 @@
     exports.start();
     orderLease.start();
     orders.start();
-    DecisionJournal journal = new DecisionJournal();
     var claimRunner = new ClaimRunner(claims, settings.claimStepFault(), drain, clock);
     List<RequestFilter> filters =
         List.of(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.dragonflyhill.core.ConfigurationObject.Model;
 import org.dragonflyhill.core.ConfigurationObject.Runner;
 import org.dragonflyhill.core.ConfigurationObject.Store;
@@ -33,6 +34,7 @@
   private final LinkController links;
   private final NodeMetrics metrics;
   private final PieceKeys pieceKeys;
+  private final RandomGenerator random;
 
   /** Creates a controller. */
   public PlacementController(
@@ -43,7 +45,8 @@
       ExportController exports,
       LinkController links,
       NodeMetrics metrics,
-      PieceKeys pieceKeys) {
+      PieceKeys pieceKeys,
+      RandomGenerator random) {
     this.configuration = configuration;
     this.endpoints = endpoints;
     this.cache = cache;
@@ -52,6 +55,7 @@
     this.links = links;
     this.metrics = metrics;
     this.pieceKeys = pieceKeys;
+    this.random = random;
   }
 
   /**
@@ -71,9 +75,8 @@
       Instant now) {
     Prompt prompt = prompt(context, model, call, now);
     List<Plan> plans = new ArrayList<>();
-    for (Runner runner : configuration.state().all(Runner.class)) {
-      if (runner.model().equals(model.name())
-          && !excluded.contains(runner.name())
+    for (Runner runner : configuration.view().runnersOf(model.name())) {
+      if (!excluded.contains(runner.name())
           && endpoints.isUsable(runner.name(), runner.administrativeState(), now)) {
         plans.add(plan(prompt, runner));
       }
@@ -86,7 +89,7 @@
             model.prefillTokensPerSecond(),
             model.cacheBytesPerToken());
     return new Placement(weights)
-        .choose(request, plans.stream().map(Plan::candidate).toList())
+        .choose(request, plans.stream().map(Plan::candidate).toList(), random)
         .flatMap(choice -> placed(prompt, choice, plans));
   }
 
@@ -133,12 +136,6 @@
     return Duration.ofMillis(tokens * 1_000 / model.prefillTokensPerSecond());
   }
 
-  /** Notes that a placed completion was served whole. */
-  public void served(Placed placed) {
-    cache.computed(placed.runner().name(), placed.pieces());
-    exports.offer(placed.kept());
-  }
-
   /**
    * Notes that a placed completion was served whole.
    *
@@ -146,7 +143,8 @@
    * @param importedTokens tokens that the runner says it imported
    */
   public void served(Placed placed, long importedTokens) {
-    served(placed);
+    cache.computed(placed.runner().name(), placed.pieces());
+    exports.offer(placed.kept());
     int used = (int) (importedTokens / PieceKeys.DEFAULT_PIECE_TOKENS);
     metrics.count("import.pieces", used);
     if (used < placed.found().size()) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Placer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Placer.java
@@ -12,8 +12,13 @@
   Optional<PlacementController.Placed> place(
       RequestContext context, Model model, Call.Completion call, Set<String> excluded, Instant now);
 
-  /** Notes that a placed completion was served whole. */
-  void served(PlacementController.Placed placed);
+  /**
+   * Notes that a placed completion was served whole.
+   *
+   * @param placed its place
+   * @param importedTokens tokens that the runner says it imported
+   */
+  void served(PlacementController.Placed placed, long importedTokens);
 
   /** Returns the placement of a node. */
   static Placer of(PlacementController placement) {
@@ -29,8 +34,8 @@
       }
 
       @Override
-      public void served(PlacementController.Placed placed) {
-        placement.served(placed);
+      public void served(PlacementController.Placed placed, long importedTokens) {
+        placement.served(placed, importedTokens);
       }
     };
   }
--- a/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRunTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRunTest.java
@@ -80,6 +80,7 @@
             budget,
             new HedgeDelay(),
             metrics,
+            new DecisionJournal(),
             new Random(1),
             InstantSource.system());
     Instant now = Instant.now();
@@ -336,7 +337,7 @@
     }
 
     @Override
-    public void served(PlacementController.Placed placed) {}
+    public void served(PlacementController.Placed placed, long importedTokens) {}
 
     private static PlacementController.Placed placed(String name) {
       var runner =
