Put a node together in three parts; ask the claiming node before an operator's word counts

Cause: the constructor of Node had grown to 150 lines; and an operator could say "not executed" of a request that another node still runs, held back by the claim's age alone.

Test operatorMayNotResolveWhatTheClaimingNodeRuns (before: resolved).

--- a/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
@@ -28,17 +28,16 @@
   /** Starts to listen. */
   public AdminApi(
       DaemonSettings settings,
-      ConfigurationController configuration,
+      NodeState state,
       ClaimAdmin claims,
       DrainController drain,
       DecisionJournal journal,
-      PeerController peers,
       InstantSource clock) {
     this.settings = settings;
-    this.configuration = configuration;
+    this.configuration = state.configuration();
     this.claims = claims;
     this.drain = drain;
-    this.peers = peers;
+    this.peers = state.peers();
     this.clock = clock;
     server =
         HttpServer.create()
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimAdmin.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimAdmin.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.dragonflyhill.core.ClaimEvent;
 import org.dragonflyhill.core.ClaimTable;
+import org.dragonflyhill.peer.PeerMessage;
 import org.dragonflyhill.platform.Json;
 import org.dragonflyhill.platform.PlatformError;
 import reactor.core.publisher.Mono;
@@ -22,11 +23,14 @@
   private static final String UNKNOWN = "unknown";
 
   private final ClaimController claims;
+  private final Claimants claimants;
   private final NodeMetrics metrics;
   private final InstantSource clock;
 
-  ClaimAdmin(ClaimController claims, NodeMetrics metrics, InstantSource clock) {
+  ClaimAdmin(
+      ClaimController claims, Claimants claimants, NodeMetrics metrics, InstantSource clock) {
     this.claims = claims;
+    this.claimants = claimants;
     this.metrics = metrics;
     this.clock = clock;
   }
@@ -64,6 +68,17 @@
     if (refusal.isPresent()) {
       return Mono.just(refusal.get());
     }
+    // A claiming node that does not answer is covered by the least age of the claim.
+    return claimants
+        .runs(entry.get().node(), key)
+        .flatMap(
+            runs ->
+                runs
+                    ? Mono.just(Result.of(409, "in_progress", entry.get().node() + " runs it"))
+                    : append(wanted, key));
+  }
+
+  private Mono<Result> append(Resolution wanted, ClaimEvent.RequestKey key) {
     var resolved =
         new ClaimEvent.Resolved(key, wanted.claimId(), wanted.executed(), wanted.operator());
     return claims.appendAndRead(resolved).map(answer -> result(wanted, key, answer));
@@ -137,6 +152,21 @@
     };
   }
 
+  /** Asks other nodes whether they still run a request. Thread-safe; nothing is null. */
+  interface Claimants {
+
+    /** Returns whether a node says that it runs the request; false where it does not answer. */
+    Mono<Boolean> runs(String node, ClaimEvent.RequestKey key);
+
+    /** Returns claimants that are asked over the peer protocol. */
+    static Claimants over(PeerController peers) {
+      return (node, key) ->
+          peers
+              .outcomes(key.organisation(), key.idempotencyKey())
+              .map(known -> known.get(node) == PeerMessage.Outcome.RUNNING);
+    }
+  }
+
   /**
    * A request as operators see it.
    *
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -1,33 +1,11 @@
 package org.dragonflyhill.daemon;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
-import java.util.Random;
-import java.util.function.IntSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.dragonflyhill.core.ClaimWindow;
-import org.dragonflyhill.core.ConfigurationObject.Model;
-import org.dragonflyhill.core.ConfigurationObject.Runner;
-import org.dragonflyhill.core.HedgeDelay;
-import org.dragonflyhill.core.ObjectKind;
-import org.dragonflyhill.core.PieceKeys;
-import org.dragonflyhill.core.RetryBudget;
-import org.dragonflyhill.peer.PeerHandler;
 import org.dragonflyhill.platform.Closer;
-import org.dragonflyhill.platform.HostListPort;
-import org.dragonflyhill.platform.HttpCache;
-import org.dragonflyhill.platform.HttpCaller;
-import org.dragonflyhill.platform.HttpHostList;
-import org.dragonflyhill.platform.HttpLog;
-import org.dragonflyhill.platform.HttpOrder;
-import org.dragonflyhill.platform.HttpRunner;
-import org.dragonflyhill.platform.HttpService;
-import org.dragonflyhill.platform.HttpStore;
 import org.dragonflyhill.platform.LogEvent;
-import org.dragonflyhill.platform.LogPort;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -39,10 +17,6 @@
 public final class Node implements AutoCloseable {
 
   private static final Logger LOGGER = LogManager.getLogger(Node.class);
-  private static final int MAX_CONNECTIONS_PER_ENDPOINT = 500;
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
-  private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(30);
-  private static final String ORDER_RESOURCE = "orders";
   private static final Duration TELL_INTERVAL = Duration.ofSeconds(1);
   private static final Duration LAST_REQUESTS_TIME = Duration.ofMillis(300);
   private static final Duration LAST_ANSWERS_TIME = Duration.ofSeconds(5);
@@ -54,7 +28,7 @@
   private final DrainController drain = new DrainController();
   private final HttpFrontend frontend;
   private final AdminApi admin;
-  private final PeerController peers;
+  private final NodeState state;
 
   /**
    * Puts a node together and starts it.
@@ -66,159 +40,21 @@
     this.settings = settings;
     this.clock = clock;
     NodeMetrics metrics = new NodeMetrics();
-    HttpCaller platformCaller =
-        closer.add(new HttpCaller("platform", MAX_CONNECTIONS_PER_ENDPOINT, CONNECT_TIMEOUT));
-    HttpCaller serviceCaller = closer.add(HttpCaller.withoutPool(CONNECT_TIMEOUT));
-    HttpCaller endpointCaller =
-        closer.add(new HttpCaller("endpoints", MAX_CONNECTIONS_PER_ENDPOINT, CONNECT_TIMEOUT));
-    LogPort log = new HttpLog(platformCaller, settings.logAddress(), settings.platformTimeout());
-    var hostList =
-        new HttpHostList(platformCaller, settings.hostListAddress(), settings.platformTimeout());
-    var runners = new HttpRunner(endpointCaller, settings.platformTimeout());
-    var caches = new HttpCache(endpointCaller, settings.platformTimeout());
-
-    var configuration = closer.add(new ConfigurationController(log, metrics, clock));
-    var claims =
-        closer.add(
-            new ClaimController(
-                log,
-                settings.node(),
-                ClaimWindow.DEFAULT,
-                ClaimLimits.DEFAULT,
-                settings.claimStepFault(),
-                metrics,
-                clock));
-    var membership = closer.add(new MembershipController(hostList, metrics));
-    var endpoints =
-        closer.add(
-            new EndpointController(
-                () -> configuration.state().all(Runner.class), membership::hosts, runners, clock));
-    var cache = closer.add(new CacheController(configuration, caches, metrics));
-
-    var monotonicClock = new MonotonicClock();
-    final var orderLease =
-        closer.add(
-            new LeaseController(
-                log,
-                membership,
-                metrics,
-                monotonicClock,
-                ORDER_RESOURCE,
-                settings.node(),
-                OrderController.LEASE_DURATION));
-    final var orders =
-        closer.add(
-            new OrderController(
-                configuration,
-                endpoints,
-                orderLease,
-                new HttpOrder(endpointCaller, settings.platformTimeout()),
-                metrics,
-                monotonicClock));
-    peers =
-        closer.add(
-            new PeerController(
-                settings,
-                configuration,
-                membership,
-                PeerHandler.OutcomeSource.NONE,
-                metrics,
-                clock,
-                new java.util.Random()));
-
-    final var pieceKeys =
-        new PieceKeys(
-            settings.secret().getBytes(StandardCharsets.UTF_8), PieceKeys.DEFAULT_PIECE_TOKENS);
-    var stores = new HttpStore(endpointCaller, settings.platformTimeout());
-    final var storeIndex =
-        closer.add(new StoreController(configuration, endpoints, stores, metrics, clock));
-    final var sweeps =
-        closer.add(
-            new StoreSweepController(
-                settings.node(),
-                membership,
-                storeIndex,
-                stores,
-                metrics,
-                clock,
-                new StoreSweepController.Settings(settings.readLease(), settings.sweepInterval())));
-    final var links = new LinkController();
-    final var exports =
-        closer.add(new ExportController(storeIndex, sweeps, caches, stores, links, metrics, clock));
-    final DecisionJournal journal = new DecisionJournal();
-    final var random = new Random();
-    final var placement =
-        new PlacementController(
-            configuration,
-            endpoints,
-            cache,
-            storeIndex,
-            exports,
-            links,
-            metrics,
-            pieceKeys,
-            random);
-    final var completions =
-        new CompletionHandler(
-            configuration,
-            new CompletionServices(
-                endpoints,
-                Placer.of(placement),
-                runners,
-                new RetryBudget(),
-                new HedgeDelay(),
-                metrics,
-                journal,
-                random,
-                clock),
-            new CompletionRelay());
-    final var services =
-        new ServiceHandler(
-            configuration, endpoints, new HttpService(serviceCaller, SERVICE_TIMEOUT), clock);
-    IntSupplier liveNodes = () -> Math.max(1, membership.live(HostListPort.Role.NODE).size());
-    final var admission =
-        closer.add(
-            new AdmissionController(
-                AdmissionFilter.LIMITS,
-                (model, now) -> endpoints.slots(model, liveNodes.getAsInt(), now),
-                metrics,
-                clock));
-    configuration.start();
-    claims.start();
-    membership.start();
-    peers.start();
-    configuration.startSnapshots(settings.snapshotPolicy(), peers::rank);
-    endpoints.start();
-    admission.start();
-    cache.start();
-    storeIndex.start();
-    sweeps.start();
-    exports.start();
-    orderLease.start();
-    orders.start();
-    var claimRunner = new ClaimRunner(claims, settings.claimStepFault(), drain, clock);
-    List<RequestFilter> filters =
-        List.of(
-            new AuthenticationFilter(configuration),
-            new ClassificationFilter(configuration, clock),
-            new JournalFilter(journal),
-            new AdmissionFilter(
-                admission,
-                drain,
-                model -> configuration.find(ObjectKind.MODEL, model, Model.class).isPresent(),
-                liveNodes),
-            new ClaimFilter(claims, claimRunner, clock));
-    var chain = RequestFilter.chain(filters, new Dispatcher(completions, services));
-    frontend = closer.add(new HttpFrontend(settings, chain, metrics, drain, clock));
-    ClaimAdmin claimAdmin = new ClaimAdmin(claims, metrics, clock);
-    admin =
-        closer.add(new AdminApi(settings, configuration, claimAdmin, drain, journal, peers, clock));
-    markStarted(configuration);
+    NodePorts ports = NodePorts.open(settings, closer);
+    state = new NodeState(settings, ports, metrics, clock, closer);
+    state.start();
+    DecisionJournal journal = new DecisionJournal();
+    var path = new RequestPath(settings, ports, state, metrics, drain, journal, clock);
+    frontend = closer.add(new HttpFrontend(settings, path.chain(), metrics, drain, clock));
+    ClaimAdmin claimAdmin =
+        new ClaimAdmin(state.claims(), ClaimAdmin.Claimants.over(state.peers()), metrics, clock);
+    admin = closer.add(new AdminApi(settings, state, claimAdmin, drain, journal, clock));
+    markStarted();
     LogEvent.of("node_started")
         .with("node", settings.node())
         .with("http_port", frontend.port())
         .with("admin_port", admin.port())
-        .with("peer_port", peers.port())
+        .with("peer_port", state.peers().port())
         .info(LOGGER);
   }
 
@@ -234,7 +70,7 @@
 
   /** Returns the port for other nodes. */
   public int peerPort() {
-    return peers.port();
+    return state.peers().port();
   }
 
   /**
@@ -288,10 +124,10 @@
     closer.close();
   }
 
-  private void markStarted(ConfigurationController configuration) {
+  private void markStarted() {
     var waiting =
         Flux.interval(STARTED_POLL)
-            .filter(tick -> configuration.isUsable())
+            .filter(tick -> state.configuration().isUsable())
             .next()
             .subscribe(tick -> drain.started());
     closer.add(waiting::dispose);
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/RequestPath.java
@@ -0,0 +1,96 @@
+package org.dragonflyhill.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Random;
+import org.dragonflyhill.core.ConfigurationObject.Model;
+import org.dragonflyhill.core.HedgeDelay;
+import org.dragonflyhill.core.ObjectKind;
+import org.dragonflyhill.core.PieceKeys;
+import org.dragonflyhill.core.RetryBudget;
+
+/**
+ * Puts the filters and handlers of a request together.
+ *
+ * <p>Thread-safe; no argument may be null.
+ */
+final class RequestPath {
+
+  private final DaemonSettings settings;
+  private final NodePorts ports;
+  private final NodeState state;
+  private final NodeMetrics metrics;
+  private final DrainController drain;
+  private final DecisionJournal journal;
+  private final InstantSource clock;
+
+  RequestPath(
+      DaemonSettings settings,
+      NodePorts ports,
+      NodeState state,
+      NodeMetrics metrics,
+      DrainController drain,
+      DecisionJournal journal,
+      InstantSource clock) {
+    this.settings = settings;
+    this.ports = ports;
+    this.state = state;
+    this.metrics = metrics;
+    this.drain = drain;
+    this.journal = journal;
+    this.clock = clock;
+  }
+
+  /** Returns the whole chain, from authentication to the endpoints. */
+  RequestFilter.Handler chain() {
+    ConfigurationController configuration = state.configuration();
+    var claimRunner = new ClaimRunner(state.claims(), settings.claimStepFault(), drain, clock);
+    List<RequestFilter> filters =
+        List.of(
+            new AuthenticationFilter(configuration),
+            new ClassificationFilter(configuration, clock),
+            new JournalFilter(journal),
+            new AdmissionFilter(
+                state.admission(),
+                drain,
+                model -> configuration.find(ObjectKind.MODEL, model, Model.class).isPresent(),
+                state::liveNodes),
+            new ClaimFilter(state.claims(), claimRunner, clock));
+    return RequestFilter.chain(filters, new Dispatcher(completions(), services()));
+  }
+
+  private ServiceHandler services() {
+    return new ServiceHandler(state.configuration(), state.endpoints(), ports.services(), clock);
+  }
+
+  private CompletionHandler completions() {
+    Random random = new Random();
+    var shared =
+        new CompletionServices(
+            state.endpoints(),
+            Placer.of(placement(random)),
+            ports.runners(),
+            new RetryBudget(),
+            new HedgeDelay(),
+            metrics,
+            journal,
+            random,
+            clock);
+    return new CompletionHandler(state.configuration(), shared, new CompletionRelay());
+  }
+
+  private PlacementController placement(Random random) {
+    byte[] secret = settings.secret().getBytes(StandardCharsets.UTF_8);
+    return new PlacementController(
+        state.configuration(),
+        state.endpoints(),
+        state.cache(),
+        state.stores(),
+        state.exports(),
+        state.links(),
+        metrics,
+        new PieceKeys(secret, PieceKeys.DEFAULT_PIECE_TOKENS),
+        random);
+  }
+}
--- a/daemon/src/test/java/org/dragonflyhill/daemon/ClaimControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/ClaimControllerTest.java
@@ -19,6 +19,7 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 
 /** Tests of {@link ClaimController}. */
 public final class ClaimControllerTest {
@@ -232,12 +233,27 @@
     assertEquals(resolve(claimId, true).result(), "in_progress");
   }
 
+  @Test
+  public void operatorMayNotResolveWhatTheClaimingNodeRuns() {
+    startAndRead();
+    log.add(record(KEY, "other", NOW.minusSeconds(120)));
+    Awaitility.await().until(() -> claims.entry(KEY).isPresent());
+    var result = resolve("other", false, (node, key) -> Mono.just(node.equals("node-b")));
+    assertEquals(result.result(), "in_progress");
+    assertTrue(claims.entry(KEY).isPresent());
+  }
+
   private ClaimAdmin.Result resolve(boolean executed) {
     return resolve("other", executed);
   }
 
   private ClaimAdmin.Result resolve(String claimId, boolean executed) {
-    var admin = new ClaimAdmin(claims, new NodeMetrics(), () -> NOW);
+    return resolve(claimId, executed, (node, key) -> Mono.just(false));
+  }
+
+  private ClaimAdmin.Result resolve(
+      String claimId, boolean executed, ClaimAdmin.Claimants claimants) {
+    var admin = new ClaimAdmin(claims, claimants, new NodeMetrics(), () -> NOW);
     String body =
         "{\"organisation\":\"org\",\"key\":\"k\",\"claim_id\":\"%s\",\"executed\":%s,"
             + "\"operator\":\"ana\"}";
