--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
@@ -201,7 +201,7 @@
       return;
     }
     services.endpoints().succeeded(placed.runner().name());
-    services.placement().served(placed, end.importedTokens());
+    services.placement().served(placed, end.importedTokens(), services.clock().instant());
     isEnded = true;
     sink.next(new AnswerEvent.Whole(end));
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/EndpointController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/EndpointController.java
@@ -127,11 +127,15 @@
   }
 
   /** Returns the load that a runner last told, unless that was too long ago. */
-  public synchronized Optional<RunnerPort.Load> load(String runner) {
+  public Optional<RunnerPort.Load> load(String runner) {
+    return report(runner).map(LoadReport::load);
+  }
+
+  /** Returns the last load report of a runner, unless it came too long ago. */
+  synchronized Optional<LoadReport> report(String runner) {
     Instant oldest = clock.instant().minus(MAX_LOAD_AGE);
     return Optional.ofNullable(loads.get(runner))
-        .filter(report -> report.receivedAt().isAfter(oldest))
-        .map(LoadReport::load);
+        .filter(report -> report.receivedAt().isAfter(oldest));
   }
 
   /** Returns the number of requests that this node runs on an endpoint. */
@@ -221,5 +225,5 @@
    * @param load the load
    * @param receivedAt when it arrived, by this node's clock
    */
-  private record LoadReport(RunnerPort.Load load, Instant receivedAt) {}
+  record LoadReport(RunnerPort.Load load, Instant receivedAt) {}
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
@@ -10,6 +10,7 @@
 import org.dragonflyhill.core.ConfigurationObject.Model;
 import org.dragonflyhill.core.ConfigurationObject.Runner;
 import org.dragonflyhill.core.ConfigurationObject.Store;
+import org.dragonflyhill.core.ConfigurationObject.Urgency;
 import org.dragonflyhill.core.PieceIndex;
 import org.dragonflyhill.core.PieceKeys;
 import org.dragonflyhill.core.PieceManifest;
@@ -32,6 +33,7 @@
   private final StoreController stores;
   private final ExportController exports;
   private final LinkController links;
+  private final RunnerLoads loads;
   private final NodeMetrics metrics;
   private final PieceKeys pieceKeys;
   private final RandomGenerator random;
@@ -44,6 +46,7 @@
       StoreController stores,
       ExportController exports,
       LinkController links,
+      RunnerLoads loads,
       NodeMetrics metrics,
       PieceKeys pieceKeys,
       RandomGenerator random) {
@@ -53,6 +56,7 @@
     this.stores = stores;
     this.exports = exports;
     this.links = links;
+    this.loads = loads;
     this.metrics = metrics;
     this.pieceKeys = pieceKeys;
     this.random = random;
@@ -99,7 +103,7 @@
     var candidate =
         new Placement.Candidate(
             runner.name(),
-            queueWait(prompt.model, runner),
+            loads.queueWait(runner, prompt.model, prompt.isUrgent, prompt.now),
             LATENCY,
             tokens(held),
             tokens(importable.size()),
@@ -129,20 +133,15 @@
     return (long) pieces * PieceKeys.DEFAULT_PIECE_TOKENS;
   }
 
-  private Duration queueWait(Model model, Runner runner) {
-    long queuedTokens = endpoints.load(runner.name()).map(RunnerPort.Load::queuedTokens).orElse(0L);
-    int waiting = Math.max(0, endpoints.inFlight(runner.name()) + 1 - runner.slots());
-    long tokens = queuedTokens + (long) waiting * PieceKeys.DEFAULT_PIECE_TOKENS;
-    return Duration.ofMillis(tokens * 1_000 / model.prefillTokensPerSecond());
-  }
-
   /**
    * Notes that a placed completion was served whole.
    *
    * @param placed its place
    * @param importedTokens tokens that the runner says it imported
+   * @param now present time
    */
-  public void served(Placed placed, long importedTokens) {
+  public void served(Placed placed, long importedTokens, Instant now) {
+    loads.ended(Duration.between(placed.placedAt(), now));
     cache.computed(placed.runner().name(), placed.pieces());
     exports.offer(placed.kept());
     int used = (int) (importedTokens / PieceKeys.DEFAULT_PIECE_TOKENS);
@@ -166,6 +165,7 @@
         wanted,
         stores.usableNames(now),
         group,
+        context.requiredTreatment().urgency() == Urgency.URGENT,
         now);
   }
 
@@ -190,6 +190,7 @@
       imports.add(pieceImport(store.get(), piece.manifest()));
     }
     stores.used(found, prompt.now);
+    loads.sent(plan.runner, prompt.model, choice.computeTokens(), prompt.isUrgent, prompt.now);
     metrics.count("import.requested", imports.size());
     var kept =
         new ExportController.Kept(
@@ -198,7 +199,7 @@
             prompt.group,
             prompt.wanted.organisationTag(),
             prompt.pieces);
-    return new Placed(plan.runner, prompt.pieces, imports, choice, found, kept);
+    return new Placed(plan.runner, prompt.pieces, imports, choice, found, kept, prompt.now);
   }
 
   private static RunnerPort.PieceImport pieceImport(Store store, PieceManifest manifest) {
@@ -218,6 +219,7 @@
       StoreIndex.Wanted wanted,
       Set<String> usableStores,
       String group,
+      boolean isUrgent,
       Instant now) {}
 
   /** What one runner could do. */
@@ -233,6 +235,7 @@
    * @param choice estimate behind the decision
    * @param found where the imports are stored
    * @param kept what may be exported once it is served
+   * @param placedAt when it was placed
    */
   public record Placed(
       Runner runner,
@@ -240,5 +243,6 @@
       List<RunnerPort.PieceImport> imports,
       Placement.Choice choice,
       List<StoreIndex.Found> found,
-      ExportController.Kept kept) {}
+      ExportController.Kept kept,
+      Instant placedAt) {}
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Placer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Placer.java
@@ -17,8 +17,9 @@
    *
    * @param placed its place
    * @param importedTokens tokens that the runner says it imported
+   * @param now present time
    */
-  void served(PlacementController.Placed placed, long importedTokens);
+  void served(PlacementController.Placed placed, long importedTokens, Instant now);
 
   /** Returns the placement of a node. */
   static Placer of(PlacementController placement) {
@@ -34,8 +35,8 @@
       }
 
       @Override
-      public void served(PlacementController.Placed placed, long importedTokens) {
-        placement.served(placed, importedTokens);
+      public void served(PlacementController.Placed placed, long importedTokens, Instant now) {
+        placement.served(placed, importedTokens, now);
       }
     };
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/RequestPath.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/RequestPath.java
@@ -89,6 +89,7 @@
         state.stores(),
         state.exports(),
         state.links(),
+        new RunnerLoads(state.endpoints(), state::liveNodes),
         metrics,
         new PieceKeys(secret, PieceKeys.DEFAULT_PIECE_TOKENS),
         random);
--- a/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRunTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRunTest.java
@@ -337,7 +337,7 @@
     }
 
     @Override
-    public void served(PlacementController.Placed placed, long importedTokens) {}
+    public void served(PlacementController.Placed placed, long importedTokens, Instant now) {}
 
     private static PlacementController.Placed placed(String name) {
       var runner =
@@ -354,7 +354,8 @@
       var choice = new org.dragonflyhill.core.Placement.Choice(name, 0, 0, 0.01, 0.01);
       var model = new org.dragonflyhill.core.ConfigurationObject.Model("m", "v1", 1, 1);
       var kept = new ExportController.Kept(runner, model, "", "", List.of());
-      return new PlacementController.Placed(runner, List.of(), List.of(), choice, List.of(), kept);
+      return new PlacementController.Placed(
+          runner, List.of(), List.of(), choice, List.of(), kept, Instant.EPOCH);
     }
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/RunnerLoadsTest.java
@@ -0,0 +1,58 @@
+package org.dragonflyhill.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.dragonflyhill.core.ConfigurationObject.AdministrativeState;
+import org.dragonflyhill.core.ConfigurationObject.Model;
+import org.dragonflyhill.core.ConfigurationObject.Runner;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link RunnerLoads}. */
+public final class RunnerLoadsTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1_000);
+  private static final Model MODEL = new Model("m", "v1", 8_000, 1);
+
+  private RunnerLoads loads;
+
+  /** Starts with idle runners that told nothing yet. */
+  @BeforeMethod
+  public void start() {
+    var endpoints = new EndpointController(List::of, List::of, null, () -> NOW);
+    loads = new RunnerLoads(endpoints, () -> 1);
+  }
+
+  private static Runner runner(String name, int slots) {
+    return new Runner(
+        name, "zone", "127.0.0.1:10", "m", slots, 1, 1, true, AdministrativeState.ACTIVE);
+  }
+
+  @Test
+  public void idleRunnerLetsNothingWait() {
+    assertEquals(loads.queueWait(runner("a", 8), MODEL, false, NOW), Duration.ZERO);
+  }
+
+  @Test
+  public void countsWhatWasSentSinceTheReport() {
+    loads.sent(runner("a", 8), MODEL, 16_000, false, NOW);
+    assertEquals(loads.queueWait(runner("a", 8), MODEL, false, NOW), Duration.ofSeconds(2));
+    assertEquals(loads.queueWait(runner("b", 8), MODEL, false, NOW), Duration.ZERO);
+  }
+
+  @Test
+  public void urgentWorkDoesNotWaitForOrdinaryPrefill() {
+    loads.sent(runner("a", 8), MODEL, 16_000, false, NOW);
+    assertEquals(loads.queueWait(runner("a", 8), MODEL, true, NOW), Duration.ZERO);
+  }
+
+  @Test
+  public void changedRunnerStartsAnew() {
+    loads.sent(runner("a", 8), MODEL, 16_000, false, NOW);
+    assertTrue(loads.queueWait(runner("a", 16), MODEL, false, NOW).isZero());
+  }
+}
