--- a/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
 import org.reactivestreams.Publisher;
@@ -114,11 +115,12 @@
   }
 
   private Publisher<Void> watched(HttpServerRequest request, HttpServerResponse response) {
-    request.withConnection(connection -> HeaderTimeout.headRead(connection.channel()));
+    // Kept from here on: after the answer the request no longer leads to its connection.
+    AtomicReference<Channel> channel = new AtomicReference<>();
+    request.withConnection(connection -> channel.set(connection.channel()));
+    HeaderTimeout.headRead(channel.get());
     return Mono.from(handle(request, response))
-        .doFinally(
-            signal ->
-                request.withConnection(connection -> HeaderTimeout.answered(connection.channel())));
+        .doFinally(signal -> HeaderTimeout.answered(channel.get()));
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
--- a/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
@@ -219,6 +219,16 @@
     assertServesNext();
   }
 
+  @Test
+  public void slowHeadersAfterAnAnswerAreRefused() throws IOException {
+    try (Socket socket = connect()) {
+      send(socket, post(BODY));
+      assertTrue(receive(socket).startsWith("HTTP/1.1 200"));
+      send(socket, "POST /v1/completions HTTP/1.1\r\nHost:");
+      assertTrue(receive(socket).startsWith("HTTP/1.1 408"));
+    }
+  }
+
   @Test
   public void longAnswerIsNoSlowHead() throws IOException {
     Reply whole = new Reply.Json(200, "{}");
--- a/standins/src/main/java/org/dragonflyhill/standins/demo/DemoCaller.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/demo/DemoCaller.java
@@ -8,6 +8,7 @@
 import org.dragonflyhill.platform.HttpCaller;
 import org.dragonflyhill.platform.Json;
 import org.dragonflyhill.platform.PlatformError;
+import reactor.core.publisher.Mono;
 
 /**
  * Sends the requests of the demo and checks each answer.
@@ -19,6 +20,10 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
   private static final int CONNECTIONS = 16;
+  private static final int MAX_RETRIES = 5;
+
+  /** The time that nodes give in {@code Retry-After} for a copy of a running request. */
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final HttpCaller caller = new HttpCaller("demo", CONNECTIONS, CONNECT_TIMEOUT);
   private final String bearerKey;
@@ -42,8 +47,17 @@
         body.toString());
   }
 
-  /** Calls a plain service. */
+  /** Calls a plain service, and again where it is told that an earlier copy still runs. */
   Result service(String node, String path, String idempotencyKey, String body) {
+    Result result = serviceOnce(node, path, idempotencyKey, body);
+    for (int retries = 0; result.isInProgress() && retries < MAX_RETRIES; retries++) {
+      Mono.delay(RETRY_AFTER).block();
+      result = serviceOnce(node, path, idempotencyKey, body);
+    }
+    return result;
+  }
+
+  private Result serviceOnce(String node, String path, String idempotencyKey, String body) {
     return send(
         node,
         "/v1/services/" + path,
@@ -101,6 +115,12 @@
    */
   record Result(int status, String body, long millis) {
 
+    private static final int HTTP_CONFLICT = 409;
+
+    boolean isInProgress() {
+      return status == HTTP_CONFLICT && body.contains("\"reason\":\"in_progress\"");
+    }
+
     JsonNode json() {
       return Json.readTree(body).getOrElse(() -> Json.mapper().createObjectNode());
     }
