Give the examples the machines that the replay measures

Change: prefill, cache, slots and links of the examples are those of docs/design/replay.md; the demo waits 5 s for its pieces to be kept.

--- a/cli/src/test/java/org/dragonflyhill/cli/CommandFlowTest.java
+++ b/cli/src/test/java/org/dragonflyhill/cli/CommandFlowTest.java
@@ -67,7 +67,7 @@
   @Test
   public void faultyInventoryChangesNothing() throws IOException {
     Path file = Files.createTempFile("inventory", ".yaml");
-    Files.writeString(file, Files.readString(Path.of(EXAMPLE)).replace("slots: 16", "slots: 0"));
+    Files.writeString(file, Files.readString(Path.of(EXAMPLE)).replace("slots: 48", "slots: 0"));
     assertEquals(run("apply", file.toString()), ExitCode.REFUSED);
     assertEquals(lastOutput.lines().count(), 8, lastOutput);
     assertEquals(run("history"), ExitCode.OK);
--- a/standins/src/main/java/org/dragonflyhill/standins/demo/Demo.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/demo/Demo.java
@@ -26,7 +26,7 @@
   private static final String MODEL = "guardia";
   private static final String WEIGHT_VERSION = "v1";
   private static final int MAX_TOKENS = 16;
-  private static final Duration KEEP_TIME = Duration.ofSeconds(2);
+  private static final Duration KEEP_TIME = Duration.ofSeconds(5);
   private static final String HISTORY = prompt("history of shed four, ", 16_000);
   private static final String ALERT = "ammonia high in shed four, fans stopped";
   private static final String ORDER = "{\"shed\":4,\"reason\":\"fans stopped\"}";
