--- a/standins/src/main/java/org/dragonflyhill/standins/demo/Demo.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/demo/Demo.java
@@ -26,6 +26,7 @@
   private static final String MODEL = "guardia";
   private static final String WEIGHT_VERSION = "v1";
   private static final int MAX_TOKENS = 16;
+  private static final Duration EVENT_TIME = Duration.ofSeconds(1);
   private static final Duration KEEP_TIME = Duration.ofSeconds(5);
   private static final String HISTORY = prompt("history of shed four, ", 16_000);
   private static final String ALERT = "ammonia high in shed four, fans stopped";
@@ -136,6 +137,8 @@
     for (String runner : list("runners")) {
       caller.platform(HttpMethod.POST, runner, "/cache/clear", "");
     }
+    // Nodes hear of an eviction a little later; a prompt that returns at once is computed anew.
+    Mono.delay(EVENT_TIME).block();
   }
 
   private void print(String label, DemoCaller.Result answer, String cached, boolean isRight) {
