--- a/cli/src/main/java/org/dragonflyhill/cli/ConfigurationCommands.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/ConfigurationCommands.java
@@ -30,10 +30,6 @@
         new SetState("undrain", AdministrativeState.ACTIVE));
   }
 
-  private static Either<CommandError, ConfigurationState> read(ConfigurationLog log) {
-    return log.read().block().mapLeft(CommandError::of);
-  }
-
   /** Reads {@code KIND/NAME} or {@code KIND}. */
   private static Either<CommandError, ObjectKey> key(String word) {
     String[] parts = word.split("/", 2);
@@ -85,7 +81,7 @@
         Session session, Optional<ObjectKey> wanted) {
       return session
           .configuration()
-          .flatMap(ConfigurationCommands::read)
+          .flatMap(Session::read)
           .flatMap(state -> print(session, state, wanted));
     }
 
@@ -229,7 +225,7 @@
           earlier.get().objects().values().stream()
               .map(ConfigurationState.VersionedObject::object)
               .toList();
-      return read(log).flatMap(now -> make(log, now, wanted, line, session));
+      return Session.read(log).flatMap(now -> make(log, now, wanted, line, session));
     }
 
     private static Either<CommandError, ExitCode> make(
@@ -289,7 +285,9 @@
                   session
                       .configuration()
                       .flatMap(
-                          log -> read(log).flatMap(now -> make(log, now, key, line, session))));
+                          log ->
+                              Session.read(log)
+                                  .flatMap(now -> make(log, now, key, line, session))));
     }
 
     private Either<CommandError, ExitCode> make(
--- a/cli/src/main/java/org/dragonflyhill/cli/InventoryCommands.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/InventoryCommands.java
@@ -54,10 +54,6 @@
         current, wanted, line.hasOption(PRUNE), UUID.randomUUID().toString(), session.author());
   }
 
-  private static Either<CommandError, ConfigurationState> read(ConfigurationLog log) {
-    return log.read().block().mapLeft(CommandError::of);
-  }
-
   /** Makes the configuration equal to an inventory. */
   private static final class Apply implements Command {
 
@@ -90,7 +86,9 @@
                   session
                       .configuration()
                       .flatMap(
-                          log -> read(log).flatMap(now -> make(log, now, wanted, line, session))));
+                          log ->
+                              Session.read(log)
+                                  .flatMap(now -> make(log, now, wanted, line, session))));
     }
 
     private static Either<CommandError, ExitCode> make(
@@ -134,7 +132,7 @@
               wanted ->
                   session
                       .configuration()
-                      .flatMap(InventoryCommands::read)
+                      .flatMap(Session::read)
                       .map(current -> print(current, wanted, line, session)));
     }
 
--- a/cli/src/main/java/org/dragonflyhill/cli/Session.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Session.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
+import org.dragonflyhill.core.ConfigurationState;
 import org.dragonflyhill.platform.ConfigurationLog;
 import org.dragonflyhill.platform.HttpCaller;
 import org.dragonflyhill.platform.HttpLog;
@@ -81,6 +82,11 @@
     return log().map(ConfigurationLog::new);
   }
 
+  /** Reads the configuration after all records that the log now holds. */
+  static Either<CommandError, ConfigurationState> read(ConfigurationLog log) {
+    return log.read().block().mapLeft(CommandError::of);
+  }
+
   /** Returns the admin addresses of the nodes, or what is missing. */
   Either<CommandError, List<String>> nodes() {
     return nodes.isEmpty()
