--- a/daemon/src/main/java/org/dragonflyhill/daemon/CacheController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CacheController.java
@@ -12,7 +12,6 @@
 import org.dragonflyhill.core.PieceKeys;
 import org.dragonflyhill.platform.CachePort;
 import org.dragonflyhill.platform.PlatformError;
-import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -32,7 +31,7 @@
   private final PieceIndex index = new PieceIndex();
   private final Map<String, Long> nextSequences = new HashMap<>();
   private final Set<String> verifying = new HashSet<>();
-  private Disposable polling = () -> {};
+  private Polling polling = Polling.NONE;
 
   /** Creates a controller that does not poll yet. */
   public CacheController(
@@ -45,11 +44,7 @@
 
   /** Starts to poll the runners. */
   public synchronized void start() {
-    polling =
-        Flux.interval(Duration.ZERO, POLL_INTERVAL)
-            .onBackpressureDrop()
-            .concatMap(tick -> pollAll(), 1)
-            .subscribe();
+    polling = Polling.every(POLL_INTERVAL, "cache events", this::pollAll);
   }
 
   /**
@@ -74,7 +69,7 @@
 
   @Override
   public synchronized void close() {
-    polling.dispose();
+    polling.close();
   }
 
   private synchronized long size() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/EndpointController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/EndpointController.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.dragonflyhill.core.ConfigurationObject.AdministrativeState;
 import org.dragonflyhill.core.ConfigurationObject.Runner;
 import org.dragonflyhill.core.EndpointHealth;
@@ -30,6 +32,7 @@
   /** Age from which a load report says nothing any more. */
   static final Duration MAX_LOAD_AGE = Duration.ofSeconds(5);
 
+  private static final Logger LOGGER = LogManager.getLogger(EndpointController.class);
   private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
   private static final Duration SLOT_COUNT_TIME = Duration.ofMillis(250);
   private static final double OVERCOMMIT = 1.25;
@@ -199,10 +202,17 @@
     return runners
         .load(runner.address())
         .doOnNext(answer -> answer.peek(load -> note(runner.name(), load)))
+        .onErrorResume(error -> unreadable(runner.name(), error))
         .doFinally(signal -> polled.remove(runner.name()))
         .then();
   }
 
+  /** A fault with one runner must not end the polls of all. */
+  private static <T> Mono<T> unreadable(String runner, Throwable error) {
+    LOGGER.error("the load of {} was not taken", runner, error);
+    return Mono.empty();
+  }
+
   private synchronized void note(String runner, RunnerPort.Load load) {
     Instant now = clock.instant();
     loads.put(runner, new LoadReport(load, now));
--- a/daemon/src/main/java/org/dragonflyhill/daemon/LeaseController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/LeaseController.java
@@ -14,8 +14,6 @@
 import org.dragonflyhill.platform.LogFollower;
 import org.dragonflyhill.platform.LogPort;
 import org.dragonflyhill.platform.PlatformError;
-import reactor.core.Disposable;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /**
@@ -35,7 +33,7 @@
   private final String node;
   private final LeaseKeeper keeper;
   private final LogFollower follower;
-  private Disposable ticking = () -> {};
+  private Polling ticking = Polling.NONE;
 
   /**
    * Creates a controller that does not do anything yet.
@@ -71,7 +69,7 @@
   /** Starts to follow the lease stream and to ask for the lease. */
   public synchronized void start() {
     follower.start();
-    ticking = Flux.interval(TICK).onBackpressureDrop().concatMap(tick -> askIfDue(), 1).subscribe();
+    ticking = Polling.every(TICK, "the lease", this::askIfDue);
   }
 
   /** Returns the lease if this node holds it at this moment. */
@@ -81,7 +79,7 @@
 
   @Override
   public synchronized void close() {
-    ticking.dispose();
+    ticking.close();
     follower.close();
   }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/MembershipController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/MembershipController.java
@@ -5,8 +5,7 @@
 import java.util.List;
 import org.dragonflyhill.platform.HostListPort;
 import org.dragonflyhill.platform.PlatformError;
-import reactor.core.Disposable;
-import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 
 /**
  * Keeps the list of live and leaving hosts; an answer that does not come leaves the last one in
@@ -21,7 +20,7 @@
   private final HostListPort hostList;
   private final NodeMetrics metrics;
   private volatile List<HostListPort.Host> hosts = List.of();
-  private Disposable polling = () -> {};
+  private Polling polling = Polling.NONE;
 
   /** Creates a controller that does not poll yet. */
   public MembershipController(HostListPort hostList, NodeMetrics metrics) {
@@ -32,11 +31,7 @@
 
   /** Starts to poll. */
   public synchronized void start() {
-    polling =
-        Flux.interval(Duration.ZERO, POLL_INTERVAL)
-            .onBackpressureDrop()
-            .concatMap(tick -> hostList.hosts(), 1)
-            .subscribe(this::update);
+    polling = Polling.every(POLL_INTERVAL, "the host list", this::poll);
   }
 
   /** Returns all hosts as last listed. */
@@ -54,7 +49,11 @@
 
   @Override
   public synchronized void close() {
-    polling.dispose();
+    polling.close();
+  }
+
+  private Mono<Void> poll() {
+    return hostList.hosts().doOnNext(this::update).then();
   }
 
   private void update(Either<PlatformError, List<HostListPort.Host>> answer) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/OrderController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/OrderController.java
@@ -20,7 +20,6 @@
 import org.dragonflyhill.platform.LogEvent;
 import org.dragonflyhill.platform.OrderPort;
 import org.dragonflyhill.platform.PlatformError;
-import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -53,7 +52,7 @@
   private final InstantSource monotonicClock;
   private final Map<String, OrderPort.State> states = new HashMap<>();
   private Optional<Tenure> tenure = Optional.empty();
-  private Disposable ticking = () -> {};
+  private Polling ticking = Polling.NONE;
 
   /** Creates a controller that does not give orders yet. */
   public OrderController(
@@ -73,12 +72,12 @@
 
   /** Starts to give orders whenever the lease is held. */
   public synchronized void start() {
-    ticking = Flux.interval(TICK).onBackpressureDrop().concatMap(tick -> round(), 1).subscribe();
+    ticking = Polling.every(TICK, "orders", this::round);
   }
 
   @Override
   public synchronized void close() {
-    ticking.dispose();
+    ticking.close();
   }
 
   private Mono<Void> round() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/PeerController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PeerController.java
@@ -26,7 +26,6 @@
 import org.dragonflyhill.platform.HostListPort;
 import org.dragonflyhill.platform.LogEvent;
 import org.dragonflyhill.platform.StateText;
-import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -57,7 +56,7 @@
   private final PeerServer server;
   private final PeerClient client;
   private Optional<Instant> aheadSince = Optional.empty();
-  private Disposable gossiping = () -> {};
+  private Polling gossiping = Polling.NONE;
 
   /**
    * Creates a controller that listens but contacts nobody yet.
@@ -96,11 +95,7 @@
 
   /** Starts to contact peers. */
   public synchronized void start() {
-    gossiping =
-        Flux.interval(Duration.ZERO, INTERVAL)
-            .onBackpressureDrop()
-            .concatMap(tick -> contactSome(), 1)
-            .subscribe();
+    gossiping = Polling.every(INTERVAL, "heartbeats", this::contactSome);
   }
 
   /** Returns the port that it listens on. */
@@ -164,7 +159,7 @@
 
   @Override
   public synchronized void close() {
-    gossiping.dispose();
+    gossiping.close();
     server.close();
   }
 
