--- a/daemon/src/main/java/org/dragonflyhill/daemon/RequestPath.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/RequestPath.java
@@ -46,18 +46,22 @@
   RequestFilter.Handler chain() {
     ConfigurationController configuration = state.configuration();
     var claimRunner = new ClaimRunner(state.claims(), settings.claimStepFault(), drain, clock);
+    StageTimers timers = new StageTimers(metrics);
+    var admission =
+        new AdmissionFilter(
+            state.admission(),
+            drain,
+            model -> configuration.find(ObjectKind.MODEL, model, Model.class).isPresent(),
+            state::liveNodes);
     List<RequestFilter> filters =
         List.of(
-            new AuthenticationFilter(configuration),
-            new ClassificationFilter(configuration, clock),
+            timers.timed("authenticate", new AuthenticationFilter(configuration)),
+            timers.timed("classify", new ClassificationFilter(configuration, clock)),
             new JournalFilter(journal),
-            new AdmissionFilter(
-                state.admission(),
-                drain,
-                model -> configuration.find(ObjectKind.MODEL, model, Model.class).isPresent(),
-                state::liveNodes),
-            new ClaimFilter(state.claims(), claimRunner, clock));
-    return RequestFilter.chain(filters, new Dispatcher(completions(), services()));
+            timers.timed("admit", admission),
+            timers.timed("claim", new ClaimFilter(state.claims(), claimRunner, clock)));
+    Dispatcher dispatcher = new Dispatcher(completions(), services());
+    return RequestFilter.chain(filters, timers.timed("dispatch", dispatcher));
   }
 
   private ServiceHandler services() {
