--- a/cli/src/main/java/org/dragonflyhill/cli/Changes.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Changes.java
@@ -11,8 +11,8 @@
 import org.apache.commons.cli.Options;
 import org.dragonflyhill.core.ChangeRecord;
 import org.dragonflyhill.core.ConfigurationState;
-import org.dragonflyhill.platform.ChangeOutcome;
-import org.dragonflyhill.platform.ConfigurationLog;
+import org.dragonflyhill.ports.ChangeOutcome;
+import org.dragonflyhill.ports.ConfigurationLog;
 
 /**
  * Makes a change of configuration and tells the truth about what became of it.
--- a/cli/src/main/java/org/dragonflyhill/cli/CommandError.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/CommandError.java
@@ -1,6 +1,6 @@
 package org.dragonflyhill.cli;
 
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.PlatformError;
 
 /**
  * Why a command failed, with its exit code.
--- a/cli/src/main/java/org/dragonflyhill/cli/ConfigurationCommands.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/ConfigurationCommands.java
@@ -13,8 +13,8 @@
 import org.dragonflyhill.core.ConfigurationState;
 import org.dragonflyhill.core.ObjectKey;
 import org.dragonflyhill.core.ObjectKind;
-import org.dragonflyhill.platform.ConfigurationLog;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.ConfigurationLog;
+import org.dragonflyhill.ports.Json;
 
 /** Commands that read the configuration or change it without a file. Stateless, thread-safe. */
 final class ConfigurationCommands {
--- a/cli/src/main/java/org/dragonflyhill/cli/HistoryReader.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/HistoryReader.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.dragonflyhill.core.ConfigurationState;
-import org.dragonflyhill.platform.ConfigurationReplay;
-import org.dragonflyhill.platform.LogPort;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.ConfigurationReplay;
+import org.dragonflyhill.ports.LogPort;
+import org.dragonflyhill.ports.PlatformError;
 
 /**
  * Reads how the configuration came to be, change by change, as far back as the log keeps records.
--- a/cli/src/main/java/org/dragonflyhill/cli/InventoryCommands.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/InventoryCommands.java
@@ -12,7 +12,7 @@
 import org.dragonflyhill.core.ChangeRecord;
 import org.dragonflyhill.core.ConfigurationObject;
 import org.dragonflyhill.core.ConfigurationState;
-import org.dragonflyhill.platform.ConfigurationLog;
+import org.dragonflyhill.ports.ConfigurationLog;
 
 /** Commands that take an inventory file. Stateless and thread-safe. */
 final class InventoryCommands {
--- a/cli/src/main/java/org/dragonflyhill/cli/InventoryReader.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/InventoryReader.java
@@ -20,7 +20,7 @@
 import org.dragonflyhill.core.ConfigurationObject;
 import org.dragonflyhill.core.ConfigurationState;
 import org.dragonflyhill.core.ObjectKey;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /**
  * Reads an inventory file, YAML or JSON, and reports all its faults at once.
--- a/cli/src/main/java/org/dragonflyhill/cli/Output.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Output.java
@@ -3,7 +3,7 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /**
  * Prints results as a table or as JSON.
--- a/cli/src/main/java/org/dragonflyhill/cli/RequestCommands.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/RequestCommands.java
@@ -7,7 +7,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /** Commands on non-repeatable requests. Stateless and thread-safe. */
 final class RequestCommands {
--- a/cli/src/main/java/org/dragonflyhill/cli/Session.java
+++ b/cli/src/main/java/org/dragonflyhill/cli/Session.java
@@ -8,10 +8,10 @@
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 import org.dragonflyhill.core.ConfigurationState;
-import org.dragonflyhill.platform.ConfigurationLog;
-import org.dragonflyhill.platform.HttpCaller;
-import org.dragonflyhill.platform.HttpLog;
-import org.dragonflyhill.platform.LogPort;
+import org.dragonflyhill.ports.ConfigurationLog;
+import org.dragonflyhill.ports.HttpCaller;
+import org.dragonflyhill.ports.HttpLog;
+import org.dragonflyhill.ports.LogPort;
 
 /**
  * Connections and output of one run of the command line.
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
@@ -0,0 +1,99 @@
+package org.dragonflyhill.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which runner or store holds which parts of prompts, as far as events and answers tell.
+ *
+ * <p>Parts are told apart by a salt (model, weight version, organisation where it is isolated) and
+ * an id. Entries may be wrong; that costs time, never correctness.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+public final class PartDirectory {
+
+  /** How long a part that a runner was just told to read counts as held there. */
+  public static final Duration EXPECTED_FOR = Duration.ofSeconds(2);
+
+  private final Map<Endpoint, Map<Key, Integer>> held = new HashMap<>();
+  private final Map<Endpoint, Map<Key, Instant>> expected = new HashMap<>();
+
+  /** Notes how many tokens of a part a holder has now; 0 drops the part. */
+  public void set(Endpoint holder, String salt, String part, int tokens) {
+    Map<Key, Integer> parts = held.computeIfAbsent(holder, any -> new HashMap<>());
+    Key key = new Key(salt, part);
+    if (tokens > 0) {
+      parts.put(key, tokens);
+    } else {
+      parts.remove(key);
+      expected.getOrDefault(holder, new HashMap<>()).remove(key);
+    }
+  }
+
+  /** Forgets all that is known of a holder. */
+  public void forget(Endpoint holder) {
+    held.remove(holder);
+    expected.remove(holder);
+  }
+
+  /** Notes that a runner was told to read or fetch these parts. */
+  public void expect(Endpoint runner, String salt, List<Prompt.Part> parts, Instant now) {
+    Map<Key, Instant> soon = expected.computeIfAbsent(runner, any -> new HashMap<>());
+    parts.forEach(part -> soon.put(new Key(salt, part.id()), now.plus(EXPECTED_FOR)));
+  }
+
+  /** Drops expectations that have passed. */
+  public void expire(Instant now) {
+    expected.values().forEach(parts -> parts.values().removeIf(until -> until.isBefore(now)));
+  }
+
+  /** Returns the tokens of a part that a holder is known to have. */
+  public int tokens(Endpoint holder, String salt, String part) {
+    Map<Key, Integer> parts = held.get(holder);
+    return parts == null ? 0 : parts.getOrDefault(new Key(salt, part), 0);
+  }
+
+  /** Returns whether a holder is known to have a whole part. */
+  public boolean holds(Endpoint holder, String salt, Prompt.Part part) {
+    return tokens(holder, salt, part.id()) >= part.tokens();
+  }
+
+  /** Returns the number of leading parts that a runner has or will soon have. */
+  public int leadingParts(Endpoint runner, String salt, List<Prompt.Part> parts, Instant now) {
+    Map<Key, Instant> soon = expected.getOrDefault(runner, Map.of());
+    int leading = 0;
+    for (Prompt.Part part : parts) {
+      Instant until = soon.get(new Key(salt, part.id()));
+      boolean isExpected = until != null && now.isBefore(until);
+      if (!isExpected && !holds(runner, salt, part)) {
+        break;
+      }
+      leading++;
+    }
+    return leading;
+  }
+
+  /** Returns the tokens that a holder is known to have. */
+  public long total(Endpoint holder) {
+    return held.getOrDefault(holder, Map.of()).values().stream().mapToLong(Integer::intValue).sum();
+  }
+
+  /** Returns the parts that a holder has under salts other than the given ones. */
+  public List<Key> otherSalts(Endpoint holder, java.util.function.Predicate<String> isCurrent) {
+    return held.getOrDefault(holder, Map.of()).keySet().stream()
+        .filter(key -> !isCurrent.test(key.salt()))
+        .toList();
+  }
+
+  /**
+   * Names a part.
+   *
+   * @param salt what the part was made for
+   * @param part its id
+   */
+  public record Key(String salt, String part) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -0,0 +1,162 @@
+package org.dragonflyhill.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * A runner as this node sees it: what it says of itself, the node's own load on it, and how it has
+ * answered lately.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+public final class Runner {
+
+  /** Silence, with requests unanswered, after which a runner is thought lost. */
+  public static final Duration SUSPICIOUS_SILENCE = Duration.ofMillis(900);
+
+  private RunnerInfo info;
+  private final Map<String, Long> weightVersions = new HashMap<>();
+  private final FailureMeter failures = new FailureMeter();
+  private int running;
+  private int waiting;
+  private long unreadTokens;
+  private long memoryTokens;
+  private Instant heardAt;
+  private Optional<Instant> waitingSince = Optional.empty();
+  private Optional<Instant> missingSince = Optional.empty();
+  private boolean hasSaidLeaving;
+
+  Runner(RunnerInfo info, Instant now) {
+    this.info = info;
+    weightVersions.putAll(info.weightVersions());
+    heardAt = now;
+  }
+
+  /** Returns what the runner says of itself. */
+  public RunnerInfo info() {
+    return info;
+  }
+
+  /** Returns the identifier. */
+  public String id() {
+    return info.id();
+  }
+
+  void update(RunnerInfo newer) {
+    info = newer;
+    missingSince = Optional.empty();
+    newer.weightVersions().forEach(this::runs);
+  }
+
+  /** Notes the weight version that the runner was seen to have; versions only grow. */
+  public void runs(String model, long version) {
+    weightVersions.merge(model, version, Math::max);
+  }
+
+  /** Returns the newest weight version that the runner was seen to have, 0 if unknown. */
+  public long weightVersion(String model) {
+    return weightVersions.getOrDefault(model, 0L);
+  }
+
+  /** Notes that the runner itself said it is leaving. */
+  public void saidLeaving() {
+    hasSaidLeaving = true;
+  }
+
+  void missing(Instant now) {
+    if (missingSince.isEmpty()) {
+      missingSince = Optional.of(now);
+    }
+  }
+
+  Optional<Instant> missingSince() {
+    return missingSince;
+  }
+
+  /** Returns whether the runner may get new work at all. */
+  public boolean isOpen() {
+    return !info.isDraining() && !hasSaidLeaving;
+  }
+
+  /** Notes that a request was sent. */
+  public void sent(long unread, long memory, Instant now) {
+    running++;
+    waiting++;
+    unreadTokens += unread;
+    memoryTokens += memory;
+    if (waitingSince.isEmpty()) {
+      waitingSince = Optional.of(now);
+    }
+  }
+
+  /** Notes the first byte of a request's answer. */
+  public void answered(long unread, Instant now) {
+    waiting--;
+    unreadTokens -= unread;
+    heard(now);
+    waitingSince = waiting > 0 ? Optional.of(now) : Optional.empty();
+  }
+
+  /** Notes that anything came from the runner. */
+  public void heard(Instant now) {
+    heardAt = now;
+  }
+
+  /** Notes the end of a request, answered or not. */
+  public void ended(boolean wasAnswered, long unread, long memory) {
+    running--;
+    memoryTokens -= memory;
+    if (!wasAnswered) {
+      waiting--;
+      unreadTokens -= unread;
+      if (waiting == 0) {
+        waitingSince = Optional.empty();
+      }
+    }
+  }
+
+  /** Notes a failure of the runner. */
+  public void failed(double weight, Instant now) {
+    failures.failed(weight, now);
+  }
+
+  /** Notes a good answer. */
+  public void succeeded(Instant now) {
+    failures.succeeded(now);
+  }
+
+  /** Returns the faded number of recent failures. */
+  public double failures(Instant now) {
+    return failures.value(now);
+  }
+
+  /** Returns whether requests wait at the runner and nothing has come from it for long. */
+  public boolean isSilent(Instant now) {
+    return waitingSince
+        .filter(since -> isLong(since, now))
+        .filter(since -> isLong(heardAt, now))
+        .isPresent();
+  }
+
+  private static boolean isLong(Instant since, Instant now) {
+    return Duration.between(since, now).compareTo(SUSPICIOUS_SILENCE) > 0;
+  }
+
+  /** Returns the requests of this node that the runner has. */
+  public int running() {
+    return running;
+  }
+
+  /** Returns the prompt tokens of this node that the runner has yet to read. */
+  public long unreadTokens() {
+    return unreadTokens;
+  }
+
+  /** Returns the KV memory that this node's requests may need at the runner, in tokens. */
+  public long memoryTokens() {
+    return memoryTokens;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -0,0 +1,222 @@
+package org.dragonflyhill.core.relay;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Chooses the runner of a request by the time until its first token and by the shared parts that
+ * would be read again.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+public final class RunnerChoice {
+
+  /** Prompt tokens that a runner reads in a second, from the users' sheet. */
+  public static final double READ_TOKENS_PER_SECOND = 85_200;
+
+  /** Least time that a fetch takes, in seconds. */
+  private static final double FETCH_SECONDS = 0.002;
+
+  /** A transfer between availability zones takes this many times as long, from the users' pages. */
+  private static final double CROSS_ZONE_FACTOR = 2;
+
+  /** Time that each request already running at a runner adds, in seconds. */
+  private static final double SECONDS_PER_RUNNING = 0.004;
+
+  /** Time by which reading a shared token again counts for more than it takes, in seconds. */
+  private static final double REREAD_SECONDS_PER_TOKEN = 0.12 / 1_000;
+
+  /** Time that a recent failure counts for, in seconds. */
+  private static final double SECONDS_PER_FAILURE = 0.4;
+
+  /** Time that a silent runner counts for, in seconds. */
+  private static final double SILENCE_SECONDS = 5;
+
+  /** Time that an older weight version counts for, in seconds. */
+  private static final double OLD_WEIGHTS_SECONDS = 1;
+
+  /** Spread that makes nodes agree on a runner where all else is equal, in seconds. */
+  private static final double AGREEMENT_SECONDS = 0.02;
+
+  /** Time that a hop to another availability zone adds, in seconds. */
+  private static final double ZONE_SECONDS = 0.002;
+
+  private final PartDirectory directory;
+  private final String ownZone;
+
+  /** Creates a choice by what a directory knows. */
+  public RunnerChoice(PartDirectory directory, String ownZone) {
+    this.directory = directory;
+    this.ownZone = ownZone;
+  }
+
+  /** Returns the best runner for a request without a prompt. */
+  public Optional<Runner> plain(Collection<Runner> runners, String requestId, Instant now) {
+    Runner best = null;
+    double least = Double.MAX_VALUE;
+    for (Runner runner : runners) {
+      double load = (double) runner.running() / Math.max(1, runner.info().slots());
+      double cost = load + penalty(runner, now) + agreement(requestId, runner) + zone(runner);
+      if (cost < least) {
+        least = cost;
+        best = runner;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /**
+   * Returns the best runner for a prompt and where it should fetch parts from.
+   *
+   * @param request the prompt and its circumstances
+   * @param runners runners that may be chosen
+   * @param sources runners and stores that parts may be fetched from
+   * @param now present time
+   */
+  public Optional<Placed> prompt(
+      Request request, Collection<Runner> runners, Collection<Source> sources, Instant now) {
+    Placed best = null;
+    for (Runner runner : runners) {
+      Placed placed = evaluate(request, runner, sources, now);
+      if (best == null || placed.costSeconds() < best.costSeconds()) {
+        best = placed;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private Placed evaluate(Request request, Runner runner, Collection<Source> sources, Instant now) {
+    List<Prompt.Part> shared = request.prompt().sharedParts();
+    String salt = request.salts().salt(runner.weightVersion(request.prompt().model()));
+    Endpoint endpoint = runner.info().endpoint();
+    int leading = directory.leadingParts(endpoint, salt, shared, now);
+    long present = tokens(shared.subList(0, leading));
+    List<Optional<Endpoint>> fetches = new ArrayList<>();
+    double fetchSeconds = 0;
+    for (Prompt.Part part : shared.subList(leading, shared.size())) {
+      Optional<Source> source = source(runner, salt, part, sources);
+      if (source.isEmpty()) {
+        break;
+      }
+      fetches.add(source.map(Source::endpoint));
+      fetchSeconds += fetchSeconds(request, source.get(), runner, part);
+      present += part.tokens();
+    }
+    long unread = Math.max(0, request.prompt().promptTokens() - present);
+    long reread = Math.max(0, tokens(shared) - present);
+    double waitSeconds =
+        runner.unreadTokens() * request.nodes() / READ_TOKENS_PER_SECOND
+            + runner.running() * request.nodes() * SECONDS_PER_RUNNING;
+    double firstToken = waitSeconds + fetchSeconds + unread / READ_TOKENS_PER_SECOND;
+    double cost =
+        firstToken
+            + reread * REREAD_SECONDS_PER_TOKEN
+            + penalty(runner, now)
+            + zone(runner)
+            + agreement(request.affinity(), runner);
+    if (runner.weightVersion(request.prompt().model()) < request.newestVersion()) {
+      cost += OLD_WEIGHTS_SECONDS;
+    }
+    return new Placed(runner, salt, leading, fetches, unread, firstToken, cost);
+  }
+
+  private double fetchSeconds(Request request, Source source, Runner runner, Prompt.Part part) {
+    double seconds = part.tokens() * request.bytesPerToken() / source.linkBytesPerSecond();
+    boolean isNear = source.zone().equals(runner.info().zone());
+    return FETCH_SECONDS + (isNear ? seconds : seconds * CROSS_ZONE_FACTOR);
+  }
+
+  private Optional<Source> source(
+      Runner runner, String salt, Prompt.Part part, Collection<Source> sources) {
+    Source best = null;
+    for (Source source : sources) {
+      if (source.endpoint().equals(runner.info().endpoint())
+          || !directory.holds(source.endpoint(), salt, part)) {
+        continue;
+      }
+      if (best == null || source.zone().equals(runner.info().zone())) {
+        best = source;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private static long tokens(List<Prompt.Part> parts) {
+    long sum = 0;
+    for (Prompt.Part part : parts) {
+      sum += part.tokens();
+    }
+    return sum;
+  }
+
+  private static double penalty(Runner runner, Instant now) {
+    double silence = runner.isSilent(now) ? SILENCE_SECONDS : 0;
+    return silence + runner.failures(now) * SECONDS_PER_FAILURE;
+  }
+
+  private double zone(Runner runner) {
+    return runner.info().zone().equals(ownZone) ? 0 : ZONE_SECONDS;
+  }
+
+  private static double agreement(String key, Runner runner) {
+    int hash = (key + '\n' + runner.id()).hashCode() * 0x9E3779B9;
+    return (hash >>> 8) * AGREEMENT_SECONDS / (1 << 24);
+  }
+
+  /** Names the salt of a weight version. */
+  @FunctionalInterface
+  public interface Salts {
+    /** Returns the salt under which cache of this request is kept. */
+    String salt(long weightVersion);
+  }
+
+  /**
+   * What is to be placed.
+   *
+   * @param prompt its prompt
+   * @param salts names its salts
+   * @param affinity equal for requests that share a history
+   * @param bytesPerToken bytes of KV cache for one token
+   * @param newestVersion newest weight version that was named
+   * @param nodes number of nodes that send to the same runners
+   */
+  public record Request(
+      Prompt prompt,
+      Salts salts,
+      String affinity,
+      double bytesPerToken,
+      long newestVersion,
+      int nodes) {}
+
+  /**
+   * A runner or store that parts may be fetched from.
+   *
+   * @param endpoint where it is
+   * @param zone its availability zone
+   * @param linkBytesPerSecond bandwidth of its link
+   */
+  public record Source(Endpoint endpoint, String zone, double linkBytesPerSecond) {}
+
+  /**
+   * A chosen runner.
+   *
+   * @param runner the runner
+   * @param salt salt of the request at this runner
+   * @param leadingParts leading shared parts that the runner has itself
+   * @param fetches where it should fetch the parts after these, one entry for each part
+   * @param unreadTokens prompt tokens that are left to read
+   * @param firstTokenSeconds estimated time to the first token
+   * @param costSeconds cost by which runners are compared
+   */
+  public record Placed(
+      Runner runner,
+      String salt,
+      int leadingParts,
+      List<Optional<Endpoint>> fetches,
+      long unreadTokens,
+      double firstTokenSeconds,
+      double costSeconds) {}
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AdminApi.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.dragonflyhill.core.ConfigurationObject;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/AnswerEvent.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AnswerEvent.java
@@ -1,7 +1,7 @@
 package org.dragonflyhill.daemon;
 
 import org.dragonflyhill.core.Refusal;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.RunnerPort;
 
 /**
  * One event of an answer whose parts were checked: text in order, then exactly one last event.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/AttemptFailure.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AttemptFailure.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.dragonflyhill.core.StreamAssembler;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.PlatformError;
 
 /**
  * Why one attempt of a completion ended without its answer.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CacheController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CacheController.java
@@ -10,8 +10,8 @@
 import org.dragonflyhill.core.ConfigurationObject;
 import org.dragonflyhill.core.PieceIndex;
 import org.dragonflyhill.core.PieceKeys;
-import org.dragonflyhill.platform.CachePort;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.CachePort;
+import org.dragonflyhill.ports.PlatformError;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CallParser.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CallParser.java
@@ -7,7 +7,7 @@
 import java.util.regex.Pattern;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /**
  * Reads what a caller asks for from method, path and body.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimAdmin.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimAdmin.java
@@ -9,8 +9,8 @@
 import org.dragonflyhill.core.ClaimEvent;
 import org.dragonflyhill.core.ClaimTable;
 import org.dragonflyhill.peer.PeerMessage;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.PlatformError;
 import reactor.core.publisher.Mono;
 
 /**
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimController.java
@@ -19,10 +19,10 @@
 import org.dragonflyhill.core.ClaimWindow;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.LogEvent;
-import org.dragonflyhill.platform.LogFollower;
-import org.dragonflyhill.platform.LogPort;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.LogEvent;
+import org.dragonflyhill.ports.LogFollower;
+import org.dragonflyhill.ports.LogPort;
+import org.dragonflyhill.ports.PlatformError;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimFilter.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimFilter.java
@@ -8,7 +8,7 @@
 import org.dragonflyhill.core.ClaimEvent;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import reactor.core.publisher.Mono;
 
 /**
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimReader.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimReader.java
@@ -10,9 +10,9 @@
 import org.dragonflyhill.core.ClaimEvent;
 import org.dragonflyhill.core.ClaimTable;
 import org.dragonflyhill.core.ClaimWindow;
-import org.dragonflyhill.platform.ClaimRecord;
-import org.dragonflyhill.platform.LogEvent;
-import org.dragonflyhill.platform.LogPort;
+import org.dragonflyhill.ports.ClaimRecord;
+import org.dragonflyhill.ports.LogEvent;
+import org.dragonflyhill.ports.LogPort;
 
 /**
  * Folds pages of the claim stream into a table and knows whether the table holds the whole window.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimStepFault.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimStepFault.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.ports.LogEvent;
 
 /**
  * Fault switch for tests: ends or pauses the process at one step of a non-repeatable request.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRelay.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRelay.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.RunnerPort;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
@@ -14,7 +14,7 @@
 import org.dragonflyhill.core.RetryBudget;
 import org.dragonflyhill.core.StreamAssembler;
 import org.dragonflyhill.core.StreamAssembler.Verdict;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.RunnerPort;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Operators;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionServices.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionServices.java
@@ -4,7 +4,7 @@
 import java.util.random.RandomGenerator;
 import org.dragonflyhill.core.HedgeDelay;
 import org.dragonflyhill.core.RetryBudget;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.RunnerPort;
 
 /**
  * What all completions of a node share. Immutable and thread-safe; no component is null.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DaemonSettings.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.dragonflyhill.core.SnapshotPolicy;
-import org.dragonflyhill.platform.SettingSpec;
-import org.dragonflyhill.platform.SettingValues;
+import org.dragonflyhill.ports.SettingSpec;
+import org.dragonflyhill.ports.SettingValues;
 
 /**
  * Settings of the daemon, all checked.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/LeaseController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/LeaseController.java
@@ -9,11 +9,11 @@
 import org.dragonflyhill.core.LeaseKeeper;
 import org.dragonflyhill.core.LeaseTable;
 import org.dragonflyhill.core.RendezvousHash;
-import org.dragonflyhill.platform.HostListPort;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.LogFollower;
-import org.dragonflyhill.platform.LogPort;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.HostListPort;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.LogFollower;
+import org.dragonflyhill.ports.LogPort;
+import org.dragonflyhill.ports.PlatformError;
 import reactor.core.publisher.Mono;
 
 /**
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Main.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Main.java
@@ -2,8 +2,8 @@
 
 import java.time.InstantSource;
 import java.util.concurrent.CountDownLatch;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.SettingValues;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.SettingValues;
 
 /** The program {@code dragonflyhilld}. Stateless and thread-safe. */
 public final class Main {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/MembershipController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/MembershipController.java
@@ -3,8 +3,8 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
-import org.dragonflyhill.platform.HostListPort;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.HostListPort;
+import org.dragonflyhill.ports.PlatformError;
 import reactor.core.publisher.Mono;
 
 /**
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -4,8 +4,8 @@
 import java.time.InstantSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.dragonflyhill.platform.Closer;
-import org.dragonflyhill.platform.LogEvent;
+import org.dragonflyhill.ports.Closer;
+import org.dragonflyhill.ports.LogEvent;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/NodePorts.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/NodePorts.java
@@ -1,22 +1,22 @@
 package org.dragonflyhill.daemon;
 
 import java.time.Duration;
-import org.dragonflyhill.platform.CachePort;
-import org.dragonflyhill.platform.Closer;
-import org.dragonflyhill.platform.HostListPort;
-import org.dragonflyhill.platform.HttpCache;
-import org.dragonflyhill.platform.HttpCaller;
-import org.dragonflyhill.platform.HttpHostList;
-import org.dragonflyhill.platform.HttpLog;
-import org.dragonflyhill.platform.HttpOrder;
-import org.dragonflyhill.platform.HttpRunner;
-import org.dragonflyhill.platform.HttpService;
-import org.dragonflyhill.platform.HttpStore;
-import org.dragonflyhill.platform.LogPort;
-import org.dragonflyhill.platform.OrderPort;
-import org.dragonflyhill.platform.RunnerPort;
-import org.dragonflyhill.platform.ServicePort;
-import org.dragonflyhill.platform.StorePort;
+import org.dragonflyhill.ports.CachePort;
+import org.dragonflyhill.ports.Closer;
+import org.dragonflyhill.ports.HostListPort;
+import org.dragonflyhill.ports.HttpCache;
+import org.dragonflyhill.ports.HttpCaller;
+import org.dragonflyhill.ports.HttpHostList;
+import org.dragonflyhill.ports.HttpLog;
+import org.dragonflyhill.ports.HttpOrder;
+import org.dragonflyhill.ports.HttpRunner;
+import org.dragonflyhill.ports.HttpService;
+import org.dragonflyhill.ports.HttpStore;
+import org.dragonflyhill.ports.LogPort;
+import org.dragonflyhill.ports.OrderPort;
+import org.dragonflyhill.ports.RunnerPort;
+import org.dragonflyhill.ports.ServicePort;
+import org.dragonflyhill.ports.StorePort;
 
 /**
  * Connections of a node to the systems around it.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/NodeState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/NodeState.java
@@ -4,8 +4,8 @@
 import java.util.Random;
 import org.dragonflyhill.core.ClaimWindow;
 import org.dragonflyhill.core.ConfigurationObject.Runner;
-import org.dragonflyhill.platform.Closer;
-import org.dragonflyhill.platform.HostListPort;
+import org.dragonflyhill.ports.Closer;
+import org.dragonflyhill.ports.HostListPort;
 
 /**
  * The controllers of a node's state, put together in the order in which they need each other.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/OrderController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/OrderController.java
@@ -17,9 +17,9 @@
 import org.dragonflyhill.core.ObjectKind;
 import org.dragonflyhill.core.OrderPlanner;
 import org.dragonflyhill.core.OrderPlanner.Weights;
-import org.dragonflyhill.platform.LogEvent;
-import org.dragonflyhill.platform.OrderPort;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.LogEvent;
+import org.dragonflyhill.ports.OrderPort;
+import org.dragonflyhill.ports.PlatformError;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/PeerController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PeerController.java
@@ -23,9 +23,9 @@
 import org.dragonflyhill.peer.PeerState;
 import org.dragonflyhill.peer.PeerTable;
 import org.dragonflyhill.peer.PeerTraffic;
-import org.dragonflyhill.platform.HostListPort;
-import org.dragonflyhill.platform.LogEvent;
-import org.dragonflyhill.platform.StateText;
+import org.dragonflyhill.ports.HostListPort;
+import org.dragonflyhill.ports.LogEvent;
+import org.dragonflyhill.ports.StateText;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/PlacementController.java
@@ -16,7 +16,7 @@
 import org.dragonflyhill.core.PieceManifest;
 import org.dragonflyhill.core.Placement;
 import org.dragonflyhill.core.StoreIndex;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.RunnerPort;
 
 /**
  * Chooses the runner of a completion and what it should import, from the state of this node.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/RunnerLoads.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/RunnerLoads.java
@@ -8,7 +8,7 @@
 import org.dragonflyhill.core.ConfigurationObject.Model;
 import org.dragonflyhill.core.ConfigurationObject.Runner;
 import org.dragonflyhill.core.LoadEstimate;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.RunnerPort;
 
 /**
  * Estimates the wait at each runner from its load reports and from what this node sent since.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ServiceHandler.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ServiceHandler.java
@@ -9,8 +9,8 @@
 import org.dragonflyhill.core.ObjectKind;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.PlatformError;
-import org.dragonflyhill.platform.ServicePort;
+import org.dragonflyhill.ports.PlatformError;
+import org.dragonflyhill.ports.ServicePort;
 import reactor.core.publisher.Mono;
 
 /** Calls plain services, each request at most once. Thread-safe; nothing is null. */
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/NodeStop.java
@@ -0,0 +1,64 @@
+package org.dragonflyhill.daemon.relay;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stops a node without cutting a request: not ready at once, callers' connections closed once the
+ * balancer has moved on, exit when nothing runs or the time is up.
+ */
+public final class NodeStop {
+
+  /** The balancer asks once a second and moves on after two misses, by the users' pages. */
+  private static final Duration BALANCER_DELAY = Duration.ofMillis(2_600);
+
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
+  /** Time left before the kill in which the process still ends by itself. */
+  private static final Duration EXIT_MARGIN = Duration.ofMillis(400);
+
+  private final EventLoop loop;
+  private final RelayServer server;
+  private final RelayState state;
+  private final Duration gracePeriod;
+  private Instant began = Instant.MAX;
+
+  /** Prepares a stop within the time that the platform gives. */
+  public NodeStop(EventLoop loop, RelayServer server, RelayState state, Duration gracePeriod) {
+    this.loop = loop;
+    this.server = server;
+    this.state = state;
+    this.gracePeriod = gracePeriod;
+  }
+
+  /** Begins the stop; a second call changes nothing. */
+  public void begin() {
+    if (state.isStopping()) {
+      return;
+    }
+    began = state.now();
+    state.stop();
+    state.log().note("node_stopping", event -> event.with("running", server.running()));
+    loop.scheduleWithFixedDelay(
+        this::check, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void check() {
+    Duration age = Duration.between(began, state.now());
+    if (age.compareTo(BALANCER_DELAY) < 0) {
+      return;
+    }
+    server.closeIdle();
+    boolean isTimeUp = age.compareTo(gracePeriod.minus(EXIT_MARGIN)) >= 0;
+    if (server.running() == 0 || isTimeUp) {
+      state
+          .log()
+          .note(
+              "node_stopped",
+              event -> event.with("running", server.running()).with("clean", !isTimeUp));
+      Runtime.getRuntime().halt(0);
+    }
+  }
+}
--- a/daemon/src/test/java/org/dragonflyhill/daemon/ClaimControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/ClaimControllerTest.java
@@ -15,7 +15,7 @@
 import org.dragonflyhill.core.Execution;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.ClaimRecord;
+import org.dragonflyhill.ports.ClaimRecord;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRelayTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRelayTest.java
@@ -10,8 +10,8 @@
 import java.util.Optional;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.RunnerPort;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
 
--- a/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRunTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/CompletionRunTest.java
@@ -22,9 +22,9 @@
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
 import org.dragonflyhill.core.RetryBudget;
-import org.dragonflyhill.platform.PlatformError;
-import org.dragonflyhill.platform.RunnerPort.CompletionRequest;
-import org.dragonflyhill.platform.RunnerPort.Event;
+import org.dragonflyhill.ports.PlatformError;
+import org.dragonflyhill.ports.RunnerPort.CompletionRequest;
+import org.dragonflyhill.ports.RunnerPort.Event;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
@@ -291,7 +291,7 @@
   }
 
   /** Runners that answer as a test says, chosen in the order of their names. */
-  private static final class FakeRunners implements org.dragonflyhill.platform.RunnerPort, Placer {
+  private static final class FakeRunners implements org.dragonflyhill.ports.RunnerPort, Placer {
 
     static final Call.Completion CALL = new Call.Completion("m", "prompt", 3, true, false);
     static final Event LEAVING = new Event.Failed(new PlatformError.Refused(503, "leaving"));
--- a/daemon/src/test/java/org/dragonflyhill/daemon/FakeLog.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/FakeLog.java
@@ -4,8 +4,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import org.dragonflyhill.platform.LogPort;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.LogPort;
+import org.dragonflyhill.ports.PlatformError;
 import reactor.core.publisher.Mono;
 
 /** A log in memory whose appends and reads fail as told. Thread-safe. */
--- a/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
@@ -14,7 +14,7 @@
 import org.awaitility.Awaitility;
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
-import org.dragonflyhill.platform.SettingValues;
+import org.dragonflyhill.ports.SettingValues;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/platform/src/main/java/org/dragonflyhill/platform/ClaimRecord.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/ClaimRecord.java
@@ -1,4 +1,4 @@
-package org.dragonflyhill.platform;
+package org.dragonflyhill.ports;
 
 import io.vavr.control.Either;
 import org.dragonflyhill.core.ClaimEvent;
--- a/platform/src/main/java/org/dragonflyhill/platform/Closer.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/Closer.java
@@ -1,4 +1,4 @@
-package org.dragonflyhill.platform;
+package org.dragonflyhill.ports;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/platform/src/main/java/org/dragonflyhill/platform/HttpCache.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/HttpCache.java
@@ -1,4 +1,4 @@
-package org.dragonflyhill.platform;
+package org.dragonflyhill.ports;
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
--- a/platform/src/main/java/org/dragonflyhill/platform/Json.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/Json.java
@@ -1,4 +1,4 @@
-package org.dragonflyhill.platform;
+package org.dragonflyhill.ports;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/platform/src/main/java/org/dragonflyhill/platform/JsonTypes.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/JsonTypes.java
@@ -1,4 +1,4 @@
-package org.dragonflyhill.platform;
+package org.dragonflyhill.ports;
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
--- a/platform/src/main/java/org/dragonflyhill/platform/LogEvent.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/LogEvent.java
@@ -1,4 +1,4 @@
-package org.dragonflyhill.platform;
+package org.dragonflyhill.ports;
 
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.Logger;
--- a/platform/src/main/java/org/dragonflyhill/platform/PlatformError.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/PlatformError.java
@@ -1,4 +1,4 @@
-package org.dragonflyhill.platform;
+package org.dragonflyhill.ports;
 
 /**
  * Why a call to a system around the nodes failed, told apart by whether it may have had an effect.
--- a/platform/src/test/java/org/dragonflyhill/platform/LogFollowerTest.java
+++ b/ports/src/test/java/org/dragonflyhill/ports/LogFollowerTest.java
@@ -1,4 +1,4 @@
-package org.dragonflyhill.platform;
+package org.dragonflyhill.ports;
 
 import static org.testng.Assert.assertTrue;
 
--- a/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
@@ -14,7 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.awaitility.Awaitility;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.dragonflyhill.standins.RunnerStandin;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
--- a/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Deployment.java
@@ -16,8 +16,8 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
-import org.dragonflyhill.platform.Closer;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Closer;
+import org.dragonflyhill.ports.Json;
 
 /** Stand-ins and daemons as separate processes on loopback. */
 final class Deployment implements AutoCloseable {
--- a/proofs/src/test/java/org/dragonflyhill/proofs/IsolationProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/IsolationProofTest.java
@@ -16,7 +16,7 @@
 import java.util.Set;
 import org.awaitility.Awaitility;
 import org.awaitility.core.ConditionTimeoutException;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.dragonflyhill.standins.RunnerStandin;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
--- a/proofs/src/test/java/org/dragonflyhill/proofs/LeavingProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/LeavingProofTest.java
@@ -10,7 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/proofs/src/test/java/org/dragonflyhill/proofs/Load.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/Load.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.dragonflyhill.standins.RunnerStandin;
 
 /** Callers that ask again and again, streamed and plain, and check each answer. Thread-safe. */
--- a/proofs/src/test/java/org/dragonflyhill/proofs/OrderChecker.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/OrderChecker.java
@@ -16,7 +16,7 @@
 import java.util.stream.Collectors;
 import org.awaitility.Awaitility;
 import org.awaitility.core.ConditionTimeoutException;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /**
  * Sends orders and compares what callers were told with what the service and the log hold, without
--- a/proofs/src/test/java/org/dragonflyhill/proofs/ProcessHelper.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/ProcessHelper.java
@@ -12,7 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /** One program under test, run as a process of its own that a test may kill, freeze or stop. */
 final class ProcessHelper implements AutoCloseable {
--- a/proofs/src/test/java/org/dragonflyhill/proofs/StreamProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/StreamProofTest.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.dragonflyhill.standins.RunnerStandin;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
--- a/proofs/src/test/java/org/dragonflyhill/proofs/VersionSampler.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/VersionSampler.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /** Reads the versions of all nodes again and again and counts each that goes down. */
 final class VersionSampler implements AutoCloseable {
--- a/proofs/src/test/java/org/dragonflyhill/proofs/WeightVersionProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/WeightVersionProofTest.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.awaitility.Awaitility;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.dragonflyhill.standins.RunnerStandin;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
--- a/proofs/src/test/java/org/dragonflyhill/proofs/WholePathTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/WholePathTest.java
@@ -4,7 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.net.http.HttpResponse;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.dragonflyhill.standins.RunnerStandin;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
--- a/standins/src/main/java/org/dragonflyhill/standins/CacheRoutes.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/CacheRoutes.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.dragonflyhill.platform.CachePort;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.CachePort;
+import org.dragonflyhill.ports.RunnerPort;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/standins/src/main/java/org/dragonflyhill/standins/HostListStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/HostListStandin.java
@@ -1,7 +1,7 @@
 package org.dragonflyhill.standins;
 
 import java.util.List;
-import org.dragonflyhill.platform.HttpHostList;
+import org.dragonflyhill.ports.HttpHostList;
 import reactor.core.publisher.Mono;
 
 /**
--- a/standins/src/main/java/org/dragonflyhill/standins/LogStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/LogStandin.java
@@ -5,8 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.dragonflyhill.platform.HttpLog;
-import org.dragonflyhill.platform.LogPort;
+import org.dragonflyhill.ports.HttpLog;
+import org.dragonflyhill.ports.LogPort;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/standins/src/main/java/org/dragonflyhill/standins/Main.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/Main.java
@@ -5,9 +5,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.SettingSpec;
-import org.dragonflyhill.platform.SettingValues;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.SettingSpec;
+import org.dragonflyhill.ports.SettingValues;
 import org.dragonflyhill.standins.demo.Demo;
 import org.dragonflyhill.standins.slopes.Slopes;
 
--- a/standins/src/main/java/org/dragonflyhill/standins/OrderRoutes.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/OrderRoutes.java
@@ -8,8 +8,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dragonflyhill.core.OrderPlanner.Weights;
-import org.dragonflyhill.platform.HttpCaller;
-import org.dragonflyhill.platform.OrderPort;
+import org.dragonflyhill.ports.HttpCaller;
+import org.dragonflyhill.ports.OrderPort;
 import reactor.core.publisher.Mono;
 
 /**
--- a/standins/src/main/java/org/dragonflyhill/standins/PrefixCache.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/PrefixCache.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.dragonflyhill.platform.CachePort;
+import org.dragonflyhill.ports.CachePort;
 
 /**
  * Prefix cache of the runner stand-in: pieces in order of use, the oldest evicted first.
--- a/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/RunnerStandin.java
@@ -10,9 +10,9 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dragonflyhill.core.PieceKeys;
-import org.dragonflyhill.platform.HttpRunner;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.HttpRunner;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.RunnerPort;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/standins/src/main/java/org/dragonflyhill/standins/StandinJson.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/StandinJson.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /** Reads JSON that names only some components of a record. Stateless and thread-safe. */
 final class StandinJson {
--- a/standins/src/main/java/org/dragonflyhill/standins/StandinReply.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/StandinReply.java
@@ -2,7 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import reactor.core.publisher.Flux;
 
 /** Answer of a stand-in. All variants are thread-safe; no component is null. */
--- a/standins/src/main/java/org/dragonflyhill/standins/StandinRequest.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/StandinRequest.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import reactor.netty.http.server.HttpServerRequest;
 
 /**
--- a/standins/src/main/java/org/dragonflyhill/standins/StandinServer.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/StandinServer.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
--- a/standins/src/main/java/org/dragonflyhill/standins/StoreStandin.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/StoreStandin.java
@@ -11,7 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dragonflyhill.core.PieceManifest;
-import org.dragonflyhill.platform.StorePort;
+import org.dragonflyhill.ports.StorePort;
 import reactor.core.publisher.Mono;
 
 /**
--- a/standins/src/main/java/org/dragonflyhill/standins/StreamFaults.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/StreamFaults.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.dragonflyhill.platform.RunnerPort;
+import org.dragonflyhill.ports.RunnerPort;
 
 /** Makes the chunks of a runner's streams, sound or faulty. Thread-safe; nothing is null. */
 final class StreamFaults {
--- a/standins/src/main/java/org/dragonflyhill/standins/demo/Demo.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/demo/Demo.java
@@ -7,11 +7,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import org.dragonflyhill.platform.HostListPort;
-import org.dragonflyhill.platform.HttpHostList;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.SettingSpec;
-import org.dragonflyhill.platform.SettingValues;
+import org.dragonflyhill.ports.HostListPort;
+import org.dragonflyhill.ports.HttpHostList;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.SettingSpec;
+import org.dragonflyhill.ports.SettingValues;
 import org.dragonflyhill.standins.RunnerStandin;
 import reactor.core.publisher.Mono;
 
--- a/standins/src/main/java/org/dragonflyhill/standins/demo/DemoCaller.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/demo/DemoCaller.java
@@ -5,9 +5,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.List;
-import org.dragonflyhill.platform.HttpCaller;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.PlatformError;
+import org.dragonflyhill.ports.HttpCaller;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.PlatformError;
 import reactor.core.publisher.Mono;
 
 /**
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/MeasureMain.java
@@ -11,9 +11,9 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Random;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.SettingSpec;
-import org.dragonflyhill.platform.SettingValues;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.SettingSpec;
+import org.dragonflyhill.ports.SettingValues;
 
 /** The program behind {@code scripts/measure}: replays traces and prints a table. */
 public final class MeasureMain {
--- a/standins/src/main/java/org/dragonflyhill/standins/replay/Trace.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/replay/Trace.java
@@ -6,7 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import org.dragonflyhill.platform.Json;
+import org.dragonflyhill.ports.Json;
 
 /**
  * Requests in order of arrival, and the time from which they are measured.
--- a/standins/src/main/java/org/dragonflyhill/standins/slopes/Slopes.java
+++ b/standins/src/main/java/org/dragonflyhill/standins/slopes/Slopes.java
@@ -18,8 +18,8 @@
 import org.dragonflyhill.core.ObjectKey;
 import org.dragonflyhill.core.PieceIndex;
 import org.dragonflyhill.core.RendezvousHash;
-import org.dragonflyhill.platform.Json;
-import org.dragonflyhill.platform.StateText;
+import org.dragonflyhill.ports.Json;
+import org.dragonflyhill.ports.StateText;
 
 /**
  * Measures state and time of the decision logic at several sizes and prints each point and the
