--- a/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
@@ -19,25 +19,45 @@
   /** How long a part that a runner was just told to read counts as held there. */
   public static final Duration EXPECTED_FOR = Duration.ofSeconds(2);
 
+  /** Silence of a holder after which what is known of it is not relied upon. */
+  public static final Duration FRESH_FOR = Duration.ofMillis(1_600);
+
   private final Map<Endpoint, Map<Key, Integer>> held = new HashMap<>();
   private final Map<Endpoint, Map<Key, Instant>> expected = new HashMap<>();
+  private final Map<Endpoint, Long> totals = new HashMap<>();
+  private final Map<Endpoint, Instant> heardAt = new HashMap<>();
 
   /** Notes how many tokens of a part a holder has now; 0 drops the part. */
   public void set(Endpoint holder, String salt, String part, int tokens) {
     Map<Key, Integer> parts = held.computeIfAbsent(holder, any -> new HashMap<>());
     Key key = new Key(salt, part);
+    Integer before;
     if (tokens > 0) {
-      parts.put(key, tokens);
+      before = parts.put(key, tokens);
     } else {
-      parts.remove(key);
+      before = parts.remove(key);
       expected.getOrDefault(holder, new HashMap<>()).remove(key);
     }
+    totals.merge(holder, (long) tokens - (before == null ? 0 : before), Long::sum);
   }
 
   /** Forgets all that is known of a holder. */
   public void forget(Endpoint holder) {
     held.remove(holder);
     expected.remove(holder);
+    totals.remove(holder);
+    heardAt.remove(holder);
+  }
+
+  /** Notes that a holder told all of its changes up to now. */
+  public void heard(Endpoint holder, Instant now) {
+    heardAt.put(holder, now);
+  }
+
+  /** Returns whether a holder told of its changes lately, so that what is known of it holds. */
+  public boolean isFresh(Endpoint holder, Instant now) {
+    Instant at = heardAt.get(holder);
+    return at != null && Duration.between(at, now).compareTo(FRESH_FOR) <= 0;
   }
 
   /** Notes that a runner was told to read or fetch these parts. */
@@ -79,7 +99,7 @@
 
   /** Returns the tokens that a holder is known to have. */
   public long total(Endpoint holder) {
-    return held.getOrDefault(holder, Map.of()).values().stream().mapToLong(Integer::intValue).sum();
+    return totals.getOrDefault(holder, 0L);
   }
 
   /** Returns the parts that a holder has under salts other than the given ones. */
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
@@ -0,0 +1,43 @@
+package org.dragonflyhill.core.relay;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What a node tells other nodes about itself. Immutable; no component is null.
+ *
+ * @param node its name
+ * @param incarnation number of its start, new for each
+ * @param sequence number of the report within the incarnation
+ * @param isLogInReach whether it reaches the log service
+ * @param isStopping whether it is being stopped
+ * @param loads its own load on runners, by their ids
+ * @param changing runners that it has ordered to change their weights
+ * @param weights weight version that runners were seen to have, by their ids
+ */
+public record PeerReport(
+    String node,
+    long incarnation,
+    long sequence,
+    boolean isLogInReach,
+    boolean isStopping,
+    Map<String, Load> loads,
+    Set<String> changing,
+    Map<String, Long> weights) {
+
+  /** Copies the collections. */
+  public PeerReport {
+    loads = Map.copyOf(loads);
+    changing = Set.copyOf(changing);
+    weights = Map.copyOf(weights);
+  }
+
+  /**
+   * Load on one runner.
+   *
+   * @param running requests there
+   * @param unreadTokens prompt tokens that it has yet to read
+   * @param memoryTokens KV memory that the requests may need, in tokens
+   */
+  public record Load(int running, long unreadTokens, long memoryTokens) {}
+}
--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -28,6 +28,7 @@
   private Optional<Instant> waitingSince = Optional.empty();
   private Optional<Instant> missingSince = Optional.empty();
   private boolean hasSaidLeaving;
+  private boolean isChanging;
 
   Runner(RunnerInfo info, Instant now) {
     this.info = info;
@@ -61,6 +62,30 @@
     return weightVersions.getOrDefault(model, 0L);
   }
 
+  /** Notes that another node saw the runner have a version of its only model. */
+  public void runsAtLeast(long version) {
+    if (weightVersions.size() == 1) {
+      weightVersions.replaceAll((model, known) -> Math.max(known, version));
+    }
+  }
+
+  /** Returns the weight version of the runner's only model, empty if it has none or several. */
+  public Optional<Long> newestWeights() {
+    return weightVersions.size() == 1
+        ? weightVersions.values().stream().findFirst()
+        : Optional.empty();
+  }
+
+  /** Notes whether this node has told the runner to change its weights. */
+  public void changing(boolean isChangingNow) {
+    isChanging = isChangingNow;
+  }
+
+  /** Returns whether this node has told the runner to change its weights. */
+  public boolean isChanging() {
+    return isChanging;
+  }
+
   /** Notes that the runner itself said it is leaving. */
   public void saidLeaving() {
     hasSaidLeaving = true;
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -35,6 +35,9 @@
   /** Time that a silent runner counts for, in seconds. */
   private static final double SILENCE_SECONDS = 5;
 
+  /** Time that a runner counts for that is changing its weights. */
+  private static final double CHANGING_SECONDS = 3;
+
   /** Time that an older weight version counts for, in seconds. */
   private static final double OLD_WEIGHTS_SECONDS = 1;
 
@@ -45,11 +48,13 @@
   private static final double ZONE_SECONDS = 0.002;
 
   private final PartDirectory directory;
+  private final PeerLoads peers;
   private final String ownZone;
 
-  /** Creates a choice by what a directory knows. */
-  public RunnerChoice(PartDirectory directory, String ownZone) {
+  /** Creates a choice by what a directory and peers tell. */
+  public RunnerChoice(PartDirectory directory, PeerLoads peers, String ownZone) {
     this.directory = directory;
+    this.peers = peers;
     this.ownZone = ownZone;
   }
 
@@ -58,7 +63,7 @@
     Runner best = null;
     double least = Double.MAX_VALUE;
     for (Runner runner : runners) {
-      double load = (double) runner.running() / Math.max(1, runner.info().slots());
+      double load = (double) running(runner, now) / Math.max(1, runner.info().slots());
       double cost = load + penalty(runner, now) + agreement(requestId, runner) + zone(runner);
       if (cost < least) {
         least = cost;
@@ -108,8 +113,8 @@
     long unread = Math.max(0, request.prompt().promptTokens() - present);
     long reread = Math.max(0, tokens(shared) - present);
     double waitSeconds =
-        runner.unreadTokens() * request.nodes() / READ_TOKENS_PER_SECOND
-            + runner.running() * request.nodes() * SECONDS_PER_RUNNING;
+        unreadTokens(runner, now) / READ_TOKENS_PER_SECOND
+            + running(runner, now) * SECONDS_PER_RUNNING;
     double firstToken = waitSeconds + fetchSeconds + unread / READ_TOKENS_PER_SECOND;
     double cost =
         firstToken
@@ -152,9 +157,19 @@
     return sum;
   }
 
-  private static double penalty(Runner runner, Instant now) {
+  private double penalty(Runner runner, Instant now) {
     double silence = runner.isSilent(now) ? SILENCE_SECONDS : 0;
-    return silence + runner.failures(now) * SECONDS_PER_FAILURE;
+    double change =
+        runner.isChanging() || peers.isChanging(runner.id(), now) ? CHANGING_SECONDS : 0;
+    return silence + change + runner.failures(now) * SECONDS_PER_FAILURE;
+  }
+
+  private int running(Runner runner, Instant now) {
+    return runner.running() + peers.on(runner.id(), now).running();
+  }
+
+  private double unreadTokens(Runner runner, Instant now) {
+    return runner.unreadTokens() + peers.on(runner.id(), now).unreadTokens();
   }
 
   private double zone(Runner runner) {
@@ -181,15 +196,9 @@
    * @param affinity equal for requests that share a history
    * @param bytesPerToken bytes of KV cache for one token
    * @param newestVersion newest weight version that was named
-   * @param nodes number of nodes that send to the same runners
    */
   public record Request(
-      Prompt prompt,
-      Salts salts,
-      String affinity,
-      double bytesPerToken,
-      long newestVersion,
-      int nodes) {}
+      Prompt prompt, Salts salts, String affinity, double bytesPerToken, long newestVersion) {}
 
   /**
    * A runner or store that parts may be fetched from.
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -0,0 +1,97 @@
+package org.dragonflyhill.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides which runner changes its weights next: a few at a time, the least loaded first.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+public final class WeightsRollout {
+
+  /** Runners that change at once; more make each change take longer, by the users' sheet. */
+  public static final int AT_ONCE = 2;
+
+  /** Time after which an order that shows no effect is given again. */
+  public static final Duration ORDER_PATIENCE = Duration.ofMillis(1_500);
+
+  private final Map<String, Change> changes = new HashMap<>();
+
+  /** Returns the open runners that are behind the newest weights, least loaded first. */
+  public static List<Behind> behind(Collection<Runner> runners, Map<String, Long> newest) {
+    List<Behind> behind = new ArrayList<>();
+    for (Runner runner : runners) {
+      for (String model : runner.info().weightVersions().keySet()) {
+        long wanted = newest.getOrDefault(model, 0L);
+        if (runner.isOpen() && runner.weightVersion(model) < wanted) {
+          behind.add(new Behind(runner, model, wanted));
+        }
+      }
+    }
+    behind.sort(Comparator.comparingInt(entry -> entry.runner().running()));
+    return behind;
+  }
+
+  /** Returns the orders to give now, and counts them as given. */
+  public List<Behind> next(List<Behind> behind, Instant now) {
+    settle(behind, now);
+    List<Behind> orders = new ArrayList<>();
+    for (Behind entry : behind) {
+      if (changes.size() >= AT_ONCE) {
+        break;
+      }
+      if (!changes.containsKey(entry.runner().id())) {
+        changes.put(entry.runner().id(), new Change(entry.version(), now));
+        orders.add(entry);
+      }
+    }
+    return orders;
+  }
+
+  /** Drops changes that are done, and those that took so long that they are ordered again. */
+  private void settle(List<Behind> behind, Instant now) {
+    Set<String> still = new HashSet<>();
+    behind.forEach(entry -> still.add(entry.runner().id()));
+    changes
+        .entrySet()
+        .removeIf(
+            entry ->
+                !still.contains(entry.getKey())
+                    || Duration.between(entry.getValue().at(), now).compareTo(ORDER_PATIENCE) > 0);
+  }
+
+  /** Notes that a runner certainly did not take its order. */
+  public void refused(String runner) {
+    changes.remove(runner);
+  }
+
+  /** Returns the runners that were told to change and have not been seen to have done so. */
+  public Set<String> changing() {
+    return changes.keySet();
+  }
+
+  /** Forgets all orders, for a node that no longer gives any. */
+  public void clear() {
+    changes.clear();
+  }
+
+  /**
+   * A runner whose weights are older than those named.
+   *
+   * @param runner the runner
+   * @param model model that they are of
+   * @param version version that it should have
+   */
+  public record Behind(Runner runner, String model, long version) {}
+
+  private record Change(long version, Instant at) {}
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallDialect.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallDialect.java
@@ -84,12 +84,14 @@
    * What a runner's head says.
    *
    * @param requestId request that it answers
+   * @param runnerId runner that answers
    * @param isNotRun whether the runner did not run the request and never will
    * @param weightVersion version of the weights
    * @param idleTimeout how long the runner keeps an idle connection
    */
   record ReplyHead(
       Optional<String> requestId,
+      Optional<String> runnerId,
       boolean isNotRun,
       OptionalLong weightVersion,
       Optional<Duration> idleTimeout) {}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -0,0 +1,125 @@
+package org.dragonflyhill.daemon.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.Runner;
+
+/**
+ * Tells other nodes several times a second of this node's load, and listens to theirs.
+ *
+ * <p>Reports go as datagrams: one that is lost is made up for by the next.
+ */
+public final class PeerGossip implements AutoCloseable {
+
+  private static final Duration INTERVAL = Duration.ofMillis(150);
+
+  private final RelayState state;
+  private final String node;
+  private final long incarnation;
+  private final Endpoint own;
+  private final Channel channel;
+  private final Map<String, Endpoint> peers = new HashMap<>();
+  private long sequence;
+
+  /** Starts to listen and to tell. */
+  public PeerGossip(EventLoop loop, Endpoint own, String node, long incarnation, RelayState state) {
+    this.state = state;
+    this.node = node;
+    this.incarnation = incarnation;
+    this.own = own;
+    channel =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioDatagramChannel.class)
+            .handler(new Listener())
+            .bind(own.host(), own.port())
+            .syncUninterruptibly()
+            .channel();
+    loop.scheduleWithFixedDelay(
+        this::tell, INTERVAL.toMillis(), INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Notes where a node listens. */
+  public void peer(String name, Endpoint endpoint) {
+    if (!endpoint.equals(own)) {
+      peers.values().removeIf(endpoint::equals);
+      peers.put(name, endpoint);
+    }
+  }
+
+  private void tell() {
+    if (peers.isEmpty()) {
+      return;
+    }
+    sequence++;
+    byte[] bytes = PeerReportCodec.encode(report());
+    for (Endpoint peer : peers.values()) {
+      channel.write(
+          new DatagramPacket(
+              Unpooled.wrappedBuffer(bytes), new InetSocketAddress(peer.host(), peer.port())));
+    }
+    channel.flush();
+  }
+
+  private PeerReport report() {
+    Map<String, PeerReport.Load> loads = new HashMap<>();
+    Set<String> changing = new HashSet<>();
+    Map<String, Long> weights = new HashMap<>();
+    for (Runner runner : state.runners().all()) {
+      if (runner.running() > 0) {
+        loads.put(
+            runner.id(),
+            new PeerReport.Load(runner.running(), runner.unreadTokens(), runner.memoryTokens()));
+      }
+      if (runner.isChanging()) {
+        changing.add(runner.id());
+      }
+      runner.newestWeights().ifPresent(version -> weights.put(runner.id(), version));
+    }
+    return new PeerReport(
+        node,
+        incarnation,
+        sequence,
+        state.isLogInReach(),
+        state.isStopping(),
+        loads,
+        changing,
+        weights);
+  }
+
+  @Override
+  public void close() {
+    channel.close();
+  }
+
+  private final class Listener extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      PeerReportCodec.decode(ByteBufUtil.getBytes(packet.content()))
+          .peek(state::peerReported)
+          .peekLeft(
+              error -> state.log().note("peer_unreadable", event -> event.with("error", error)));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable error) {
+      state.log().note("peer_error", event -> event.with("error", error.toString()));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerReportCodec.java
@@ -0,0 +1,81 @@
+package org.dragonflyhill.daemon.relay;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.dragonflyhill.core.relay.PeerReport;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads reports between nodes as MessagePack. */
+final class PeerReportCodec {
+
+  /** Version of the form; a report of another one is skipped. */
+  private static final int SCHEMA = 1;
+
+  private PeerReportCodec() {}
+
+  static byte[] encode(PeerReport report) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(SCHEMA).packString(report.node());
+      packer.packLong(report.incarnation()).packLong(report.sequence());
+      packer.packBoolean(report.isLogInReach()).packBoolean(report.isStopping());
+      packer.packMapHeader(report.loads().size());
+      for (Map.Entry<String, PeerReport.Load> entry : report.loads().entrySet()) {
+        packer.packString(entry.getKey()).packInt(entry.getValue().running());
+        packer.packLong(entry.getValue().unreadTokens());
+        packer.packLong(entry.getValue().memoryTokens());
+      }
+      packer.packArrayHeader(report.changing().size());
+      for (String runner : report.changing()) {
+        packer.packString(runner);
+      }
+      packer.packMapHeader(report.weights().size());
+      for (Map.Entry<String, Long> entry : report.weights().entrySet()) {
+        packer.packString(entry.getKey()).packLong(entry.getValue());
+      }
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("a buffer in memory cannot be written", e);
+    }
+  }
+
+  static Either<String, PeerReport> decode(byte[] bytes) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      int schema = unpacker.unpackInt();
+      if (schema != SCHEMA) {
+        return Either.left("schema " + schema);
+      }
+      String node = unpacker.unpackString();
+      long incarnation = unpacker.unpackLong();
+      long sequence = unpacker.unpackLong();
+      boolean isLogInReach = unpacker.unpackBoolean();
+      boolean isStopping = unpacker.unpackBoolean();
+      Map<String, PeerReport.Load> loads = new HashMap<>();
+      for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+        loads.put(
+            unpacker.unpackString(),
+            new PeerReport.Load(
+                unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong()));
+      }
+      Set<String> changing = new HashSet<>();
+      for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+        changing.add(unpacker.unpackString());
+      }
+      Map<String, Long> weights = new HashMap<>();
+      for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+        weights.put(unpacker.unpackString(), unpacker.unpackLong());
+      }
+      return Either.right(
+          new PeerReport(
+              node, incarnation, sequence, isLogInReach, isStopping, loads, changing, weights));
+    } catch (IOException | MessagePackException e) {
+      return Either.left(e.toString());
+    }
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -51,6 +51,9 @@
   /** Pause within a stream after which it goes on at another runner where it may. */
   private static final Duration STREAM_SILENCE = Duration.ofMillis(1_200);
 
+  /** Time after sending within which a fetch must end; what it reads may be freed later. */
+  private static final Duration LONGEST_FETCH = Duration.ofMillis(2_000);
+
   private static final Duration DEFAULT_TIME_LEFT = Duration.ofSeconds(30);
   private static final int MAX_URGENCY = 9;
 
@@ -196,8 +199,7 @@
             version -> RelayState.salt(prompt.model(), version, organisation),
             affinity,
             engine.bytesPerToken(),
-            state.newestWeights().getOrDefault(prompt.model(), 0L),
-            state.nodes());
+            state.newestWeights().getOrDefault(prompt.model(), 0L));
     return state
         .choice()
         .prompt(wanted, open, state.sources(pool.name(), engine), now)
@@ -424,13 +426,21 @@
       while (fetches.size() < prompt.get().parts().size()) {
         fetches.add(Optional.empty());
       }
+      List<Optional<org.dragonflyhill.core.relay.Endpoint>> saves =
+          new ArrayList<>(state.saves(placed.salt(), prompt.get().sharedParts()));
+      while (!saves.isEmpty() && saves.size() < prompt.get().parts().size()) {
+        saves.add(Optional.empty());
+      }
+      OptionalLong until = state.runnersMillis();
       return Optional.of(
           new CallDialect.CacheUse(
               placed.salt(),
               version == 0 ? OptionalLong.empty() : OptionalLong.of(version),
               fetches,
-              OptionalLong.empty(),
-              List.of()));
+              until.isPresent()
+                  ? OptionalLong.of(until.getAsLong() + LONGEST_FETCH.toMillis())
+                  : OptionalLong.empty(),
+              saves));
     }
 
     private long unread() {
@@ -533,15 +543,25 @@
       Instant now = state.now();
       note("runner_refused", this, "status " + status);
       if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-        if (reply.weightVersion().isEmpty()) {
-          runner.saidLeaving();
-        }
+        misdirected(reply);
       } else {
         runner.failed(0.5, now);
       }
       leaveFor("refused");
     }
 
+    /** The address is another runner's now, or the runner has other weights than expected. */
+    private void misdirected(CallDialect.ReplyHead reply) {
+      boolean isOther = reply.runnerId().filter(id -> !id.equals(runner.id())).isPresent();
+      if (isOther || placed == null) {
+        runner.saidLeaving();
+        return;
+      }
+      String model = head.prompt().get().model();
+      runner.runs(model, state.newestWeights().getOrDefault(model, 0L));
+      tried.remove(runner.id());
+    }
+
     private void leaveFor(String reason) {
       cancel();
       attempt = Optional.empty();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -7,8 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.KeepPlan;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.PartDirectory;
+import org.dragonflyhill.core.relay.PeerLoads;
+import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.Prompt;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.RunnerChoice;
@@ -21,8 +27,8 @@
 /** What a relaying node knows: the configuration in force, runners, weights and kept parts. */
 public final class RelayState {
 
-  /** Nodes that are assumed to share the runners until others are known. */
-  public static final int ASSUMED_NODES = 4;
+  /** Least number of nodes that are taken to share a budget; others may not be known yet. */
+  public static final int LEAST_NODES = 4;
 
   private final InstantSource clock;
   private final DecisionLog log;
@@ -30,11 +36,15 @@
   private final SharedRetryBudget.Limits retryLimits;
   private final RunnerTable runners = new RunnerTable();
   private final PartDirectory parts = new PartDirectory();
+  private final PeerLoads peers = new PeerLoads();
+  private final KeepPlan keepPlan = new KeepPlan(parts);
   private final RunnerChoice choice;
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, Long> newestWeights = new HashMap<>();
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
+  private boolean isLogInReach;
+  private long runnersClockGapMillis = Long.MIN_VALUE;
 
   /** Creates a state that knows nothing yet. */
   public RelayState(
@@ -47,7 +57,7 @@
     this.log = log;
     this.metrics = metrics;
     this.retryLimits = retryLimits;
-    choice = new RunnerChoice(parts, zone);
+    choice = new RunnerChoice(parts, peers, zone);
   }
 
   /** Returns the present time of the node's steady clock. */
@@ -75,6 +85,54 @@
     return parts;
   }
 
+  /** Returns what other nodes tell. */
+  public PeerLoads peers() {
+    return peers;
+  }
+
+  /** Notes a report of another node. */
+  public void peerReported(PeerReport report) {
+    peers.heard(report, now());
+    report
+        .weights()
+        .forEach(
+            (id, version) -> runners.find(id).ifPresent(runner -> runner.runsAtLeast(version)));
+  }
+
+  /** Returns whether the log service is in reach. */
+  public boolean isLogInReach() {
+    return isLogInReach;
+  }
+
+  /** Notes whether the log service is in reach. */
+  public void logInReach(boolean isInReach) {
+    isLogInReach = isInReach;
+  }
+
+  /** Notes the time on the runners' clock, as it was a moment ago. */
+  public void runnersClock(long millis) {
+    runnersClockGapMillis = Math.max(runnersClockGapMillis, millis - now().toEpochMilli());
+  }
+
+  /** Returns the present time on the runners' clock, empty if it was never told. */
+  OptionalLong runnersMillis() {
+    return runnersClockGapMillis == Long.MIN_VALUE
+        ? OptionalLong.empty()
+        : OptionalLong.of(now().toEpochMilli() + runnersClockGapMillis);
+  }
+
+  /** Returns where the parts of a prompt are to be saved. */
+  List<Optional<Endpoint>> saves(String salt, List<Prompt.Part> shared) {
+    List<Service.Store> stores = usableStores();
+    return stores.isEmpty() ? List.of() : keepPlan.saves(salt, shared, stores, now());
+  }
+
+  private List<Service.Store> usableStores() {
+    return configuration.map(RelayConfiguration::stores).orElse(List.of()).stream()
+        .filter(store -> parts.isFresh(store.endpoint(), now()))
+        .toList();
+  }
+
   RunnerChoice choice() {
     return choice;
   }
@@ -134,6 +192,7 @@
 
   /** Drops runners that the list named no more. */
   public void runnersGone(List<String> ids) {
+    keepPlan.expire(now());
     ids.forEach(id -> log.note("runner_gone", event -> event.with("runner", id)));
   }
 
@@ -144,19 +203,25 @@
 
   /** Returns the number of nodes that share the runners. */
   public int nodes() {
-    return ASSUMED_NODES;
+    return Math.max(LEAST_NODES, peers.nodes(now()));
   }
 
   /** Returns all that parts may be fetched from for a service. */
   List<RunnerChoice.Source> sources(String service, Service.Engine engine) {
     List<RunnerChoice.Source> sources = new ArrayList<>();
     for (Runner runner : runners.all()) {
-      if (runner.info().service().equals(service) && !runner.isSilent(now())) {
+      if (runner.info().service().equals(service)
+          && parts.isFresh(runner.info().endpoint(), now())
+          && !runner.isSilent(now())) {
         sources.add(
             new RunnerChoice.Source(
                 runner.info().endpoint(), runner.info().zone(), engine.linkBytesPerSecond()));
       }
     }
+    for (Service.Store store : usableStores()) {
+      sources.add(
+          new RunnerChoice.Source(store.endpoint(), store.zone(), store.linkBytesPerSecond()));
+    }
     return sources;
   }
 
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerOrders.java
@@ -0,0 +1,36 @@
+package org.dragonflyhill.daemon.relay;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.dragonflyhill.core.relay.RunnerInfo;
+
+/** Orders to runners. Nothing is null; results are handed over on the event loop. */
+public interface RunnerOrders {
+
+  /** Tells a runner to take a weight version once its running requests have ended. */
+  void changeWeights(
+      RunnerInfo runner,
+      String model,
+      long version,
+      String holder,
+      long fencingToken,
+      Consumer<Either<String, Outcome>> done);
+
+  /** Asks a runner for its weight versions. */
+  void weights(RunnerInfo runner, Consumer<Either<String, Map<String, Long>>> done);
+
+  /** What a runner says to an order. */
+  enum Outcome {
+    /** It carries the order out. */
+    ACCEPTED,
+    /** It holds already. */
+    HOLDS,
+    /** Another order is in progress. */
+    BUSY,
+    /** A newer fencing token was seen. */
+    FENCED,
+    /** The order is wrong or for another runner. */
+    REJECTED
+  }
+}
