Refuse at once what would wait past its objective; fetch what was dropped; tell slow from lost

Ruled out: too few stores (2 parts found no room), late fetches (0 to 4). Change: a runner that still tells of its cache is not silent; unreached runners are ejected for growing times; fetch addresses for every kept part, stores first; Admission by the learnt time to the first token and the work of the same or higher rank. Tests: RunnerChoiceTest, 13 patterns.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerLoads.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerLoads.java
@@ -48,20 +48,28 @@
     return nodes;
   }
 
-  /** Returns the load of all other nodes on a runner. */
-  public PeerReport.Load on(String runner, Instant now) {
+  /** Returns the requests of all other nodes at a runner. */
+  public int running(String runner, Instant now) {
     int running = 0;
-    long unread = 0;
-    long memory = 0;
     for (Seen seen : peers.values()) {
       PeerReport.Load load = seen.report().loads().get(runner);
       if (load != null && isWithin(seen.at(), LOAD_VALID, now)) {
         running += load.running();
-        unread += load.unreadTokens();
-        memory += load.memoryTokens();
       }
     }
-    return new PeerReport.Load(running, unread, memory);
+    return running;
+  }
+
+  /** Returns the tokens of all other nodes that a runner reads before a new request's. */
+  public long unreadBefore(String runner, int urgency, Instant now) {
+    long unread = 0;
+    for (Seen seen : peers.values()) {
+      PeerReport.Load load = seen.report().loads().get(runner);
+      if (load != null && isWithin(seen.at(), LOAD_VALID, now)) {
+        unread += load.unreadBefore(urgency);
+      }
+    }
+    return unread;
   }
 
   /** Returns whether any peer says that a runner is changing its weights. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.core.relay;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -36,8 +37,23 @@
    * Load on one runner.
    *
    * @param running requests there
-   * @param unreadTokens prompt tokens that it has yet to read
+   * @param unreadTokens prompt tokens that it has yet to read, by rank of urgency
    * @param memoryTokens KV memory that the requests may need, in tokens
    */
-  public record Load(int running, long unreadTokens, long memoryTokens) {}
+  public record Load(int running, List<Long> unreadTokens, long memoryTokens) {
+
+    /** Copies the list. */
+    public Load {
+      unreadTokens = List.copyOf(unreadTokens);
+    }
+
+    /** Returns the tokens that the runner reads before a new request's. */
+    public long unreadBefore(int urgency) {
+      long sum = 0;
+      for (int i = 0; i < unreadTokens.size() && i <= Math.min(urgency, Runner.RANKS - 1); i++) {
+        sum += unreadTokens.get(i);
+      }
+      return sum;
+    }
+  }
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -17,16 +19,36 @@
   /** Silence, with requests unanswered, after which a runner is thought lost. */
   public static final Duration SUSPICIOUS_SILENCE = Duration.ofMillis(900);
 
+  /** Ranks of urgency that are told apart; all that are less urgent count as the last one. */
+  public static final int RANKS = 4;
+
+  /** Weight of one answer in the learnt slowness. */
+  private static final double SLOWNESS_WEIGHT = 0.1;
+
+  private static final double MIN_SLOWNESS = 0.7;
+  private static final double MAX_SLOWNESS = 10;
+
+  /** Part of each answer's time that does not depend on load, in seconds. */
+  private static final double FIXED_SECONDS = 0.05;
+
+  /** Time for which a runner that could not be reached gets nothing; it doubles each time. */
+  public static final Duration FIRST_EJECTION = Duration.ofMillis(500);
+
+  private static final int MAX_EJECTION_DOUBLINGS = 3;
+
   private RunnerInfo info;
   private final Map<String, Long> weightVersions = new HashMap<>();
   private final FailureMeter failures = new FailureMeter();
   private int running;
   private int waiting;
-  private long unreadTokens;
+  private final long[] unreadTokens = new long[RANKS];
+  private double slowness = 1;
   private long memoryTokens;
   private Instant heardAt;
   private Optional<Instant> waitingSince = Optional.empty();
   private Optional<Instant> missingSince = Optional.empty();
+  private Instant ejectedUntil = Instant.MIN;
+  private int ejections;
   private boolean hasSaidLeaving;
   private boolean isChanging;
 
@@ -107,10 +129,10 @@
   }
 
   /** Notes that a request was sent. */
-  public void sent(long unread, long memory, Instant now) {
+  public void sent(int urgency, long unread, long memory, Instant now) {
     running++;
     waiting++;
-    unreadTokens += unread;
+    unreadTokens[rank(urgency)] += unread;
     memoryTokens += memory;
     if (waitingSince.isEmpty()) {
       waitingSince = Optional.of(now);
@@ -118,9 +140,9 @@
   }
 
   /** Notes the first byte of a request's answer. */
-  public void answered(long unread, Instant now) {
+  public void answered(int urgency, long unread, Instant now) {
     waiting--;
-    unreadTokens -= unread;
+    unreadTokens[rank(urgency)] -= unread;
     heard(now);
     waitingSince = waiting > 0 ? Optional.of(now) : Optional.empty();
   }
@@ -131,12 +153,12 @@
   }
 
   /** Notes the end of a request, answered or not. */
-  public void ended(boolean wasAnswered, long unread, long memory) {
+  public void ended(boolean wasAnswered, int urgency, long unread, long memory) {
     running--;
     memoryTokens -= memory;
     if (!wasAnswered) {
       waiting--;
-      unreadTokens -= unread;
+      unreadTokens[rank(urgency)] -= unread;
       if (waiting == 0) {
         waitingSince = Optional.empty();
       }
@@ -148,8 +170,24 @@
     failures.failed(weight, now);
   }
 
+  /** Notes that no connection to the runner could be made, or that it fell silent. */
+  public void unreached(Instant now) {
+    if (isEjected(now)) {
+      return;
+    }
+    int doublings = Math.min(ejections, MAX_EJECTION_DOUBLINGS);
+    ejectedUntil = now.plus(FIRST_EJECTION.multipliedBy(1L << doublings));
+    ejections++;
+  }
+
+  /** Returns whether the runner was found out of reach a moment ago. */
+  public boolean isEjected(Instant now) {
+    return now.isBefore(ejectedUntil);
+  }
+
   /** Notes a good answer. */
   public void succeeded(Instant now) {
+    ejections = 0;
     failures.succeeded(now);
   }
 
@@ -175,9 +213,34 @@
     return running;
   }
 
-  /** Returns the prompt tokens of this node that the runner has yet to read. */
-  public long unreadTokens() {
-    return unreadTokens;
+  private static int rank(int urgency) {
+    return Math.min(urgency, RANKS - 1);
+  }
+
+  /** Returns the prompt tokens of this node that the runner has yet to read, by rank. */
+  public List<Long> unreadTokens() {
+    return Arrays.stream(unreadTokens).boxed().toList();
+  }
+
+  /** Returns the prompt tokens of this node that the runner reads before a new request's. */
+  public long unreadBefore(int urgency) {
+    long sum = 0;
+    for (int i = 0; i <= rank(urgency); i++) {
+      sum += unreadTokens[i];
+    }
+    return sum;
+  }
+
+  /** Notes how long a first token took against what was expected, in seconds. */
+  public void measured(double seconds, double expected) {
+    double ratio = (seconds + FIXED_SECONDS) / (expected / slowness + FIXED_SECONDS);
+    double clipped = Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, ratio));
+    slowness += SLOWNESS_WEIGHT * (clipped - slowness);
+  }
+
+  /** Returns the factor by which the runner has been slower than its sheet says. */
+  public double slowness() {
+    return slowness;
   }
 
   /** Returns the KV memory that this node's requests may need at the runner, in tokens. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -101,21 +101,28 @@
     long present = tokens(shared.subList(0, leading));
     List<Optional<Endpoint>> fetches = new ArrayList<>();
     double fetchSeconds = 0;
-    for (Prompt.Part part : shared.subList(leading, shared.size())) {
+    boolean isUnbroken = true;
+    for (int i = 0; i < shared.size(); i++) {
+      Prompt.Part part = shared.get(i);
       Optional<Source> source = source(runner, salt, part, sources);
-      if (source.isEmpty()) {
-        break;
-      }
+      // Also for a part that the runner should have: it may have dropped it by then.
       fetches.add(source.map(Source::endpoint));
-      fetchSeconds += fetchSeconds(request, source.get(), runner, part);
-      present += part.tokens();
+      if (i < leading) {
+        continue;
+      }
+      isUnbroken &= source.isPresent();
+      if (isUnbroken) {
+        fetchSeconds += fetchSeconds(request, source.get(), runner, part);
+        present += part.tokens();
+      }
     }
     long unread = Math.max(0, request.prompt().promptTokens() - present);
     long reread = Math.max(0, tokens(shared) - present);
     double waitSeconds =
-        unreadTokens(runner, now) / READ_TOKENS_PER_SECOND
+        unreadBefore(runner, request.urgency(), now) / READ_TOKENS_PER_SECOND
             + running(runner, now) * SECONDS_PER_RUNNING;
-    double firstToken = waitSeconds + fetchSeconds + unread / READ_TOKENS_PER_SECOND;
+    double firstToken =
+        (waitSeconds + fetchSeconds + unread / READ_TOKENS_PER_SECOND) * runner.slowness();
     double cost =
         firstToken
             + reread * REREAD_SECONDS_PER_TOKEN
@@ -125,7 +132,7 @@
     if (runner.weightVersion(request.prompt().model()) < request.newestVersion()) {
       cost += OLD_WEIGHTS_SECONDS;
     }
-    return new Placed(runner, salt, leading, fetches, unread, firstToken, cost);
+    return new Placed(runner, salt, fetches, unread, firstToken, cost, running(runner, now));
   }
 
   private double fetchSeconds(Request request, Source source, Runner runner, Prompt.Part part) {
@@ -142,13 +149,19 @@
           || !directory.holds(source.endpoint(), salt, part)) {
         continue;
       }
-      if (best == null || source.zone().equals(runner.info().zone())) {
+      if (best == null || rank(source, runner) > rank(best, runner)) {
         best = source;
       }
     }
     return Optional.ofNullable(best);
   }
 
+  /** A store keeps what it has; a runner may drop it before the fetch begins. */
+  private static int rank(Source source, Runner runner) {
+    int near = source.zone().equals(runner.info().zone()) ? 1 : 0;
+    return (source.isLasting() ? 2 : 0) + near;
+  }
+
   private static long tokens(List<Prompt.Part> parts) {
     long sum = 0;
     for (Prompt.Part part : parts) {
@@ -158,18 +171,19 @@
   }
 
   private double penalty(Runner runner, Instant now) {
-    double silence = runner.isSilent(now) ? SILENCE_SECONDS : 0;
+    boolean isQuiet = runner.isSilent(now) && !directory.isFresh(runner.info().endpoint(), now);
+    double silence = isQuiet ? SILENCE_SECONDS : 0;
     double change =
         runner.isChanging() || peers.isChanging(runner.id(), now) ? CHANGING_SECONDS : 0;
     return silence + change + runner.failures(now) * SECONDS_PER_FAILURE;
   }
 
   private int running(Runner runner, Instant now) {
-    return runner.running() + peers.on(runner.id(), now).running();
+    return runner.running() + peers.running(runner.id(), now);
   }
 
-  private double unreadTokens(Runner runner, Instant now) {
-    return runner.unreadTokens() + peers.on(runner.id(), now).unreadTokens();
+  private double unreadBefore(Runner runner, int urgency, Instant now) {
+    return runner.unreadBefore(urgency) + peers.unreadBefore(runner.id(), urgency, now);
   }
 
   private double zone(Runner runner) {
@@ -195,10 +209,16 @@
    * @param salts names its salts
    * @param affinity equal for requests that share a history
    * @param bytesPerToken bytes of KV cache for one token
+   * @param urgency its rank, 0 for the first
    * @param newestVersion newest weight version that was named
    */
   public record Request(
-      Prompt prompt, Salts salts, String affinity, double bytesPerToken, long newestVersion) {}
+      Prompt prompt,
+      Salts salts,
+      String affinity,
+      double bytesPerToken,
+      int urgency,
+      long newestVersion) {}
 
   /**
    * A runner or store that parts may be fetched from.
@@ -206,26 +226,28 @@
    * @param endpoint where it is
    * @param zone its availability zone
    * @param linkBytesPerSecond bandwidth of its link
+   * @param isLasting whether it drops nothing on its own
    */
-  public record Source(Endpoint endpoint, String zone, double linkBytesPerSecond) {}
+  public record Source(
+      Endpoint endpoint, String zone, double linkBytesPerSecond, boolean isLasting) {}
 
   /**
    * A chosen runner.
    *
    * @param runner the runner
    * @param salt salt of the request at this runner
-   * @param leadingParts leading shared parts that the runner has itself
-   * @param fetches where it should fetch the parts after these, one entry for each part
+   * @param fetches where it should fetch each shared part from if it lacks it
    * @param unreadTokens prompt tokens that are left to read
    * @param firstTokenSeconds estimated time to the first token
    * @param costSeconds cost by which runners are compared
+   * @param running requests of all nodes that are at the runner
    */
   public record Placed(
       Runner runner,
       String salt,
-      int leadingParts,
       List<Optional<Endpoint>> fetches,
       long unreadTokens,
       double firstTokenSeconds,
-      double costSeconds) {}
+      double costSeconds,
+      int running) {}
 }
--- /dev/null
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerChoiceTest.java
@@ -0,0 +1,244 @@
+package org.dragonflyhill.core.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Patterns of load that the choice of a runner answers. */
+public final class RunnerChoiceTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1_000);
+  private static final String SALT = "m@1";
+  private static final double LINK = 1.5e12 / 8;
+  private static final Prompt HISTORY =
+      new Prompt(
+          "m",
+          12_000,
+          100,
+          List.of(
+              new Prompt.Part("a1", 512),
+              new Prompt.Part("b2", 8_600),
+              new Prompt.Part("c3", 2_888)));
+
+  private PartDirectory directory;
+  private PeerLoads peers;
+  private RunnerChoice choice;
+
+  /** Starts each test without knowledge. */
+  @BeforeMethod
+  public void forget() {
+    directory = new PartDirectory();
+    peers = new PeerLoads();
+    choice = new RunnerChoice(directory, peers, "z1");
+  }
+
+  private static Runner runner(String id, int host) {
+    return new Runner(
+        new RunnerInfo(
+            id, "s", new Endpoint("10.0.0." + host, 80), "z1", 64, false, Map.of("m", 1L), 1),
+        NOW);
+  }
+
+  private static RunnerChoice.Request request(String affinity) {
+    return new RunnerChoice.Request(HISTORY, version -> "m@" + version, affinity, 327_680, 1, 1);
+  }
+
+  private static RunnerChoice.Source source(Runner runner) {
+    return new RunnerChoice.Source(runner.info().endpoint(), "z1", LINK, false);
+  }
+
+  private void hold(Endpoint holder) {
+    for (Prompt.Part part : HISTORY.sharedParts()) {
+      directory.set(holder, SALT, part.id(), part.tokens());
+    }
+  }
+
+  /** A returning history goes where it is kept. */
+  @Test
+  public void prefersTheRunnerThatHoldsTheHistory() {
+    List<Runner> runners = List.of(runner("r1", 1), runner("r2", 2), runner("r3", 3));
+    hold(runners.get(1).info().endpoint());
+    for (int i = 0; i < 20; i++) {
+      var placed = choice.prompt(request("key" + i), runners, List.of(), NOW).orElseThrow();
+      assertEquals(placed.runner().id(), "r2");
+      assertEquals(placed.unreadTokens(), 2_888);
+    }
+  }
+
+  /** Work spreads: a long queue outweighs the cost of moving the history. */
+  @Test
+  public void leavesTheHolderWhenItsQueueIsLong() {
+    List<Runner> runners = List.of(runner("r1", 1), runner("r2", 2));
+    hold(runners.get(0).info().endpoint());
+    runners.get(0).sent(1, 85_000, 85_000, NOW);
+    var placed =
+        choice.prompt(request("k"), runners, List.of(source(runners.get(0))), NOW).orElseThrow();
+    assertEquals(placed.runner().id(), "r2");
+    assertEquals(
+        placed.fetches(),
+        List.of(
+            Optional.of(runners.get(0).info().endpoint()),
+            Optional.of(runners.get(0).info().endpoint())));
+  }
+
+  /** Requests that come at once spread over runners that are alike. */
+  @Test
+  public void spreadsEqualWork() {
+    List<Runner> runners = List.of(runner("r1", 1), runner("r2", 2), runner("r3", 3));
+    List<Integer> counts = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      var placed = choice.prompt(request("key" + i), runners, List.of(), NOW).orElseThrow();
+      placed.runner().sent(1, placed.unreadTokens(), 12_000, NOW);
+    }
+    runners.forEach(runner -> counts.add(runner.running()));
+    assertTrue(counts.stream().allMatch(count -> count >= 8), counts.toString());
+  }
+
+  /** Load of other nodes counts like the node's own. */
+  @Test
+  public void countsTheLoadOfPeers() {
+    List<Runner> runners = List.of(runner("r1", 1), runner("r2", 2));
+    peers.heard(
+        new PeerReport(
+            "n2",
+            1,
+            1,
+            true,
+            false,
+            Map.of("r1", new PeerReport.Load(9, List.of(0L, 80_000L), 80_000)),
+            java.util.Set.of(),
+            Map.of()),
+        NOW);
+    for (int i = 0; i < 10; i++) {
+      var placed = choice.prompt(request("key" + i), runners, List.of(), NOW).orElseThrow();
+      assertEquals(placed.runner().id(), "r2");
+    }
+    var later = NOW.plus(PeerLoads.LOAD_VALID).plusMillis(1);
+    assertEquals(peers.running("r1", later), 0);
+  }
+
+  /** A part that the runner should have is fetched all the same if it was dropped meanwhile. */
+  @Test
+  public void fetchesExpectedPartsToo() {
+    Runner runner = runner("r1", 1);
+    Runner other = runner("r2", 2);
+    directory.expect(runner.info().endpoint(), SALT, HISTORY.sharedParts(), NOW);
+    hold(other.info().endpoint());
+    var placed =
+        choice.prompt(request("k"), List.of(runner), List.of(source(other)), NOW).orElseThrow();
+    assertEquals(placed.fetches().get(1), Optional.of(other.info().endpoint()));
+    assertEquals(placed.unreadTokens(), 2_888);
+  }
+
+  /** Stores keep what they have; runners under pressure drop it. */
+  @Test
+  public void fetchesFromStoresBeforeRunners() {
+    Runner runner = runner("r1", 1);
+    Runner other = runner("r2", 2);
+    Endpoint store = new Endpoint("10.9.0.1", 80);
+    hold(other.info().endpoint());
+    hold(store);
+    var sources = List.of(new RunnerChoice.Source(store, "z9", LINK, true), source(other));
+    var placed = choice.prompt(request("k"), List.of(runner), sources, NOW).orElseThrow();
+    assertEquals(placed.fetches().get(0), Optional.of(store));
+  }
+
+  /** A runner that is slow but still tells of its cache is not taken for lost. */
+  @Test
+  public void slowRunnerIsNotSilent() {
+    Runner slow = runner("r1", 1);
+    Runner busy = runner("r2", 2);
+    slow.sent(1, 100, 100, NOW);
+    busy.sent(1, 60_000, 60_000, NOW);
+    Instant later = NOW.plusMillis(1_500);
+    directory.heard(slow.info().endpoint(), later);
+    directory.heard(busy.info().endpoint(), later);
+    assertTrue(slow.isSilent(later));
+    var placed = choice.prompt(request("k"), List.of(slow, busy), List.of(), later).orElseThrow();
+    assertEquals(placed.runner().id(), "r1");
+  }
+
+  /** A dark runner gets nothing for growing times. */
+  @Test
+  public void ejectsUnreachedRunnersForGrowingTimes() {
+    Runner dark = runner("r1", 1);
+    dark.unreached(NOW);
+    assertTrue(dark.isEjected(NOW.plusMillis(499)));
+    assertFalse(dark.isEjected(NOW.plusMillis(500)));
+    Instant again = NOW.plusMillis(600);
+    dark.unreached(again);
+    assertTrue(dark.isEjected(again.plusMillis(999)));
+    dark.succeeded(again.plus(Duration.ofSeconds(2)));
+    dark.unreached(again.plus(Duration.ofSeconds(2)));
+    assertFalse(dark.isEjected(again.plus(Duration.ofMillis(2_500))));
+  }
+
+  /** Weights that were replaced are avoided while a runner with the new ones is as good. */
+  @Test
+  public void prefersNewWeights() {
+    Runner old = runner("r1", 1);
+    Runner fresh = runner("r2", 2);
+    fresh.runs("m", 2);
+    var wanted = new RunnerChoice.Request(HISTORY, version -> "m@" + version, "k", 327_680, 1, 2);
+    hold(old.info().endpoint());
+    var placed = choice.prompt(wanted, List.of(old, fresh), List.of(), NOW).orElseThrow();
+    assertEquals(placed.salt(), placed.runner() == fresh ? "m@2" : "m@1");
+  }
+
+  /** Urgent work goes ahead, so what waits behind it does not count. */
+  @Test
+  public void urgentWorkDoesNotWaitForTheRest() {
+    Runner runner = runner("r1", 1);
+    runner.sent(2, 85_200, 85_200, NOW);
+    assertEquals(runner.unreadBefore(1), 0);
+    assertEquals(runner.unreadBefore(2), 85_200);
+    assertEquals(runner.unreadBefore(9), 85_200);
+  }
+
+  /** A runner that has become slow gets less. */
+  @Test
+  public void learnsThatRunnerIsSlow() {
+    Runner slow = runner("r1", 1);
+    Runner usual = runner("r2", 2);
+    for (int i = 0; i < 40; i++) {
+      slow.measured(1.05, 0.14 * slow.slowness());
+    }
+    assertTrue(slow.slowness() > 4, "slowness " + slow.slowness());
+    for (int i = 0; i < 10; i++) {
+      var placed =
+          choice.prompt(request("key" + i), List.of(slow, usual), List.of(), NOW).orElseThrow();
+      assertEquals(placed.runner().id(), "r2");
+    }
+  }
+
+  /** Overload: what would be late makes all behind it late, so it is refused at once. */
+  @Test
+  public void refusesWhatWouldWaitPastItsObjective() {
+    Runner runner = runner("r1", 1);
+    for (int i = 0; i < 10; i++) {
+      runner.sent(1, 8_520, 8_520, NOW);
+    }
+    var placed = choice.prompt(request("k"), List.of(runner), List.of(), NOW).orElseThrow();
+    Duration back = Admission.refusal(placed, Duration.ofMillis(300)).orElseThrow();
+    assertTrue(back.toMillis() > 700 && back.toMillis() < 1_500, back.toString());
+    assertTrue(Admission.refusal(placed, Duration.ofSeconds(2)).isEmpty());
+  }
+
+  /** Nothing is refused while a runner has places free, whatever the estimate says. */
+  @Test
+  public void refusesNothingWhilePlacesAreFree() {
+    Runner runner = runner("r1", 1);
+    runner.sent(1, 852_000, 8_520, NOW);
+    var placed = choice.prompt(request("k"), List.of(runner), List.of(), NOW).orElseThrow();
+    assertTrue(Admission.refusal(placed, Duration.ofMillis(300)).isEmpty());
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerReportCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerReportCodec.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.dragonflyhill.core.relay.PeerReport;
@@ -28,7 +30,10 @@
       packer.packMapHeader(report.loads().size());
       for (Map.Entry<String, PeerReport.Load> entry : report.loads().entrySet()) {
         packer.packString(entry.getKey()).packInt(entry.getValue().running());
-        packer.packLong(entry.getValue().unreadTokens());
+        packer.packArrayHeader(entry.getValue().unreadTokens().size());
+        for (long unread : entry.getValue().unreadTokens()) {
+          packer.packLong(unread);
+        }
         packer.packLong(entry.getValue().memoryTokens());
       }
       packer.packArrayHeader(report.changing().size());
@@ -58,10 +63,7 @@
       boolean isStopping = unpacker.unpackBoolean();
       Map<String, PeerReport.Load> loads = new HashMap<>();
       for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
-        loads.put(
-            unpacker.unpackString(),
-            new PeerReport.Load(
-                unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong()));
+        loads.put(unpacker.unpackString(), load(unpacker));
       }
       Set<String> changing = new HashSet<>();
       for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
@@ -78,4 +80,13 @@
       return Either.left(e.toString());
     }
   }
+
+  private static PeerReport.Load load(MessageUnpacker unpacker) throws IOException {
+    int running = unpacker.unpackInt();
+    List<Long> unread = new ArrayList<>();
+    for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+      unread.add(unpacker.unpackLong());
+    }
+    return new PeerReport.Load(running, unread, unpacker.unpackLong());
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -24,6 +24,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.dragonflyhill.core.relay.Admission;
 import org.dragonflyhill.core.relay.EventStream;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.Prompt;
@@ -164,7 +165,7 @@
     }
     Instant now = state.now();
     List<Runner> open = new ArrayList<>();
-    for (Runner runner : state.runners().open(pool.name())) {
+    for (Runner runner : state.reachable(pool.name())) {
       if (!tried.contains(runner.id())) {
         open.add(runner);
       }
@@ -175,6 +176,18 @@
       return;
     }
     Attempt chosen = next.get();
+    if (sent == 0 && chosen.placed != null) {
+      Optional<Duration> comeBack = Admission.refusal(chosen.placed, route.objective());
+      if (comeBack.isPresent()) {
+        unavailable(
+            "overloaded",
+            "runners are busy, first token expected in "
+                + Math.round(chosen.placed.firstTokenSeconds() * 1_000)
+                + " ms",
+            comeBack.get());
+        return;
+      }
+    }
     attempt = next;
     tried.add(chosen.runner.id());
     server
@@ -199,6 +212,7 @@
             version -> RelayState.salt(prompt.model(), version, organisation),
             affinity,
             engine.bytesPerToken(),
+            rank(),
             state.newestWeights().getOrDefault(prompt.model(), 0L));
     return state
         .choice()
@@ -245,9 +259,11 @@
   }
 
   private OptionalInt urgency() {
-    return pool.engine().isEmpty()
-        ? OptionalInt.empty()
-        : OptionalInt.of(Math.min(MAX_URGENCY, RelayConfiguration.priority(route, organisation)));
+    return pool.engine().isEmpty() ? OptionalInt.empty() : OptionalInt.of(rank());
+  }
+
+  private int rank() {
+    return Math.min(MAX_URGENCY, RelayConfiguration.priority(route, organisation));
   }
 
   private void unreached(Attempt chosen, Throwable error) {
@@ -255,7 +271,7 @@
       return;
     }
     attempt = Optional.empty();
-    chosen.runner.failed(2, state.now());
+    chosen.runner.unreached(state.now());
     unreached++;
     note("runner_unreached", chosen, error.toString());
     if (unreached >= MAX_UNREACHED) {
@@ -373,7 +389,8 @@
       Attempt silent = attempt.get();
       if (sent < route.maxAttempts()) {
         note("runner_silent", silent, "no answer yet");
-        silent.runner.failed(1, now);
+        silent.runner.unreached(now);
+        server.connections().drop(silent.runner.info().endpoint());
         silent.cancel();
         events.dropPartial();
         attempt = Optional.empty();
@@ -405,6 +422,7 @@
     private final RunnerChoice.Placed placed;
     private Optional<RunnerConnection> connection = Optional.empty();
     private Instant heardAt = Instant.MAX;
+    private Instant sentAt = Instant.MAX;
     private boolean isAnswered;
     private boolean isEnded;
 
@@ -418,11 +436,8 @@
         return Optional.empty();
       }
       long version = runner.weightVersion(prompt.get().model());
-      List<Optional<org.dragonflyhill.core.relay.Endpoint>> fetches = new ArrayList<>();
-      for (int i = 0; i < placed.leadingParts(); i++) {
-        fetches.add(Optional.empty());
-      }
-      fetches.addAll(placed.fetches());
+      List<Optional<org.dragonflyhill.core.relay.Endpoint>> fetches =
+          new ArrayList<>(placed.fetches());
       while (fetches.size() < prompt.get().parts().size()) {
         fetches.add(Optional.empty());
       }
@@ -454,7 +469,8 @@
     void sent(RunnerConnection used, Instant now) {
       connection = Optional.of(used);
       heardAt = now;
-      runner.sent(unread(), memory(), now);
+      sentAt = now;
+      runner.sent(rank(), unread(), memory(), now);
       if (placed != null) {
         state
             .parts()
@@ -469,7 +485,7 @@
       }
       return isAnswered
           ? Duration.between(heardAt, now).compareTo(STREAM_SILENCE) > 0
-          : runner.isSilent(now)
+          : state.isSilent(runner, placed != null)
               && Duration.between(heardAt, now).compareTo(Runner.SUSPICIOUS_SILENCE) > 0;
     }
 
@@ -485,7 +501,7 @@
     private void leave() {
       if (!isEnded) {
         isEnded = true;
-        runner.ended(isAnswered, unread(), memory());
+        runner.ended(isAnswered, rank(), unread(), memory());
       }
     }
 
@@ -500,7 +516,11 @@
       Instant now = state.now();
       if (!isAnswered) {
         isAnswered = true;
-        runner.answered(unread(), now);
+        runner.answered(rank(), unread(), now);
+        if (placed != null && !reply.isNotRun()) {
+          runner.measured(
+              Duration.between(sentAt, now).toNanos() / 1e9, placed.firstTokenSeconds());
+        }
       }
       head.prompt()
           .ifPresent(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -211,20 +211,38 @@
     List<RunnerChoice.Source> sources = new ArrayList<>();
     for (Runner runner : runners.all()) {
       if (runner.info().service().equals(service)
-          && parts.isFresh(runner.info().endpoint(), now())
-          && !runner.isSilent(now())) {
+          && parts.isFresh(runner.info().endpoint(), now())) {
         sources.add(
             new RunnerChoice.Source(
-                runner.info().endpoint(), runner.info().zone(), engine.linkBytesPerSecond()));
+                runner.info().endpoint(),
+                runner.info().zone(),
+                engine.linkBytesPerSecond(),
+                false));
       }
     }
     for (Service.Store store : usableStores()) {
       sources.add(
-          new RunnerChoice.Source(store.endpoint(), store.zone(), store.linkBytesPerSecond()));
+          new RunnerChoice.Source(
+              store.endpoint(), store.zone(), store.linkBytesPerSecond(), store.isManaged()));
     }
     return sources;
   }
 
+  /**
+   * Returns whether a runner seems out of reach: requests wait, nothing comes, and where it tells
+   * of its cache, it no longer does. A runner that is only slow still tells.
+   */
+  boolean isSilent(Runner runner, boolean isEngine) {
+    return runner.isSilent(now()) && !(isEngine && parts.isFresh(runner.info().endpoint(), now()));
+  }
+
+  /** Returns the runners of a service that may get a request, without those just out of reach. */
+  List<Runner> reachable(String service) {
+    List<Runner> open = runners.open(service);
+    List<Runner> reachable = open.stream().filter(runner -> !runner.isEjected(now())).toList();
+    return reachable.isEmpty() ? open : reachable;
+  }
+
   /** Names the salt under which cache of a model and version is kept for an organisation. */
   public static String salt(String model, long version, Optional<Organisation> organisation) {
     String wall =
