Probe ejected runners by mere connections; count waits for memory; serve callers that came back a little longer

Change: a connection without a request decides when an ejected runner is used again; memory on its way counts; callers that came back are admitted up to 450 ms.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
@@ -15,6 +15,12 @@
   /** Estimated time to the first token, in objectives, beyond which a request is refused. */
   public static final double MAX_OBJECTIVES = 1.3;
 
+  /**
+   * Estimated time to the first token up to which a caller is served who came back, as it was told;
+   * above this the queue grows until all are late.
+   */
+  public static final Duration RETURNING_LIMIT = Duration.ofMillis(450);
+
   /** Requests at a runner up to which nothing is refused: it has places free. */
   public static final int FREE_RUNNING = 8;
 
@@ -28,9 +34,14 @@
    *
    * @param placed the best runner
    * @param objective time within which the answer earns its full worth
+   * @param isReturning whether the caller has come back after a refusal or failure
    */
-  public static Optional<Duration> refusal(RunnerChoice.Placed placed, Duration objective) {
+  public static Optional<Duration> refusal(
+      RunnerChoice.Placed placed, Duration objective, boolean isReturning) {
     double limit = objective.toNanos() / 1e9 * MAX_OBJECTIVES;
+    if (isReturning) {
+      limit = Math.max(limit, RETURNING_LIMIT.toNanos() / 1e9);
+    }
     double excess = placed.firstTokenSeconds() - limit;
     if (excess <= 0 || placed.running() <= FREE_RUNNING) {
       return Optional.empty();
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerLoads.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerLoads.java
@@ -72,6 +72,18 @@
     return unread;
   }
 
+  /** Returns the KV memory that the requests of all other nodes may need at a runner. */
+  public long memoryTokens(String runner, Instant now) {
+    long memory = 0;
+    for (Seen seen : peers.values()) {
+      PeerReport.Load load = seen.report().loads().get(runner);
+      if (load != null && isWithin(seen.at(), LOAD_VALID, now)) {
+        memory += load.memoryTokens();
+      }
+    }
+    return memory;
+  }
+
   /** Returns whether any peer says that a runner is changing its weights. */
   public boolean isChanging(String runner, Instant now) {
     for (Seen seen : peers.values()) {
--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -172,7 +172,7 @@
 
   /** Notes that no connection to the runner could be made, or that it fell silent. */
   public void unreached(Instant now) {
-    if (isEjected(now)) {
+    if (now.isBefore(ejectedUntil)) {
       return;
     }
     int doublings = Math.min(ejections, MAX_EJECTION_DOUBLINGS);
@@ -180,14 +180,24 @@
     ejections++;
   }
 
-  /** Returns whether the runner was found out of reach a moment ago. */
-  public boolean isEjected(Instant now) {
-    return now.isBefore(ejectedUntil);
+  /** Returns whether the runner was found out of reach and was not reached since. */
+  public boolean isEjected() {
+    return ejections > 0;
+  }
+
+  /** Returns whether it is time to look whether an ejected runner can be reached again. */
+  public boolean isProbeDue(Instant now) {
+    return ejections > 0 && !now.isBefore(ejectedUntil);
+  }
+
+  /** Notes that a connection to the runner was made. */
+  public void reached() {
+    ejections = 0;
   }
 
   /** Notes a good answer. */
   public void succeeded(Instant now) {
-    ejections = 0;
+    reached();
     failures.succeeded(now);
   }
 
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -26,6 +26,9 @@
   /** Time that each request already running at a runner adds, in seconds. */
   private static final double SECONDS_PER_RUNNING = 0.004;
 
+  /** Time in which a full runner gets its memory back, in seconds. */
+  private static final double MEMORY_SECONDS = 0.5;
+
   /** Time by which reading a shared token again counts for more than it takes, in seconds. */
   private static final double REREAD_SECONDS_PER_TOKEN = 0.12 / 1_000;
 
@@ -120,7 +123,8 @@
     long reread = Math.max(0, tokens(shared) - present);
     double waitSeconds =
         unreadBefore(runner, request.urgency(), now) / READ_TOKENS_PER_SECOND
-            + running(runner, now) * SECONDS_PER_RUNNING;
+            + running(runner, now) * SECONDS_PER_RUNNING
+            + memorySeconds(request, runner, now);
     double firstToken =
         (waitSeconds + fetchSeconds + unread / READ_TOKENS_PER_SECOND) * runner.slowness();
     double cost =
@@ -178,6 +182,16 @@
     return silence + change + runner.failures(now) * SECONDS_PER_FAILURE;
   }
 
+  /** Returns the wait for memory that requests on their way to the runner will need. */
+  private double memorySeconds(Request request, Runner runner, Instant now) {
+    long wanted =
+        runner.memoryTokens()
+            + peers.memoryTokens(runner.id(), now)
+            + request.prompt().memoryTokens();
+    double excess = Math.max(0, wanted - request.runnerMemoryTokens());
+    return excess / Math.max(1, request.runnerMemoryTokens()) * MEMORY_SECONDS;
+  }
+
   private int running(Runner runner, Instant now) {
     return runner.running() + peers.running(runner.id(), now);
   }
@@ -209,6 +223,7 @@
    * @param salts names its salts
    * @param affinity equal for requests that share a history
    * @param bytesPerToken bytes of KV cache for one token
+   * @param runnerMemoryTokens KV memory of a runner, in tokens
    * @param urgency its rank, 0 for the first
    * @param newestVersion newest weight version that was named
    */
@@ -217,6 +232,7 @@
       Salts salts,
       String affinity,
       double bytesPerToken,
+      long runnerMemoryTokens,
       int urgency,
       long newestVersion) {}
 
@@ -249,5 +265,17 @@
       long unreadTokens,
       double firstTokenSeconds,
       double costSeconds,
-      int running) {}
+      int running) {
+
+    /** Returns what the estimate rests on, for a log line. */
+    public String explanation() {
+      return "first token expected in %d ms at runner %s: %d running, slowness %.2f, %d unread"
+          .formatted(
+              Math.round(firstTokenSeconds * 1_000),
+              runner.id(),
+              running,
+              runner.slowness(),
+              unreadTokens);
+    }
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -52,6 +52,9 @@
   /** Pause within a stream after which it goes on at another runner where it may. */
   private static final Duration STREAM_SILENCE = Duration.ofMillis(1_200);
 
+  /** Time that a caller has used by the time it comes back, at least. */
+  private static final Duration RETURNING_MARGIN = Duration.ofMillis(100);
+
   /** Time after sending within which a fetch must end; what it reads may be freed later. */
   private static final Duration LONGEST_FETCH = Duration.ofMillis(2_000);
 
@@ -177,14 +180,10 @@
     }
     Attempt chosen = next.get();
     if (sent == 0 && chosen.placed != null) {
-      Optional<Duration> comeBack = Admission.refusal(chosen.placed, route.objective());
+      Optional<Duration> comeBack =
+          Admission.refusal(chosen.placed, route.objective(), isReturning());
       if (comeBack.isPresent()) {
-        unavailable(
-            "overloaded",
-            "runners are busy, first token expected in "
-                + Math.round(chosen.placed.firstTokenSeconds() * 1_000)
-                + " ms",
-            comeBack.get());
+        unavailable("overloaded", chosen.placed.explanation(), comeBack.get());
         return;
       }
     }
@@ -212,6 +211,7 @@
             version -> RelayState.salt(prompt.model(), version, organisation),
             affinity,
             engine.bytesPerToken(),
+            engine.memoryTokens(),
             rank(),
             state.newestWeights().getOrDefault(prompt.model(), 0L));
     return state
@@ -254,6 +254,13 @@
     connection.send(out, body.retainedDuplicate(), id(), chosen);
   }
 
+  /** A caller that has less time than its route gives has spent some of it already. */
+  private boolean isReturning() {
+    return head.timeLeft()
+        .filter(left -> left.plus(RETURNING_MARGIN).compareTo(route.timeout()) < 0)
+        .isPresent();
+  }
+
   private Duration timeLeft(Instant now) {
     return Duration.between(now, callerDeadline);
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.RelayConfiguration;
+import org.dragonflyhill.core.relay.Runner;
 
 /** Takes callers' connections and keeps the requests that run. */
 public final class RelayServer implements AutoCloseable {
@@ -94,10 +95,23 @@
     Instant now = state.now();
     List.copyOf(callers).forEach(caller -> caller.sweep(now));
     connections.sweep();
+    state.runners().all().stream().filter(runner -> runner.isProbeDue(now)).forEach(this::probe);
     state.parts().expire(now);
     state.runnersGone(state.runners().expire(now));
   }
 
+  /** Looks by a mere connection whether a runner can be reached again, so that no request waits. */
+  private void probe(Runner runner) {
+    connections.open(
+        runner.info().endpoint(),
+        connection -> {
+          connections.release(connection);
+          runner.reached();
+          state.log().note("runner_reached", event -> event.with("runner", runner.id()));
+        },
+        error -> runner.unreached(state.now()));
+  }
+
   RelayState state() {
     return state;
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -239,7 +239,7 @@
   /** Returns the runners of a service that may get a request, without those just out of reach. */
   List<Runner> reachable(String service) {
     List<Runner> open = runners.open(service);
-    List<Runner> reachable = open.stream().filter(runner -> !runner.isEjected(now())).toList();
+    List<Runner> reachable = open.stream().filter(runner -> !runner.isEjected()).toList();
     return reachable.isEmpty() ? open : reachable;
   }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnections.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnections.java
@@ -84,8 +84,8 @@
     open(endpoint, ready, failed);
   }
 
-  private void open(
-      Endpoint endpoint, Consumer<RunnerConnection> ready, Consumer<Throwable> failed) {
+  /** Opens a connection; gives an error if none can be had. */
+  void open(Endpoint endpoint, Consumer<RunnerConnection> ready, Consumer<Throwable> failed) {
     opened++;
     ChannelFuture connecting =
         new Bootstrap()
