--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/NodeStop.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/NodeStop.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Stops a node without cutting a request: not ready at once, callers' connections closed once the
- * balancer has moved on, exit when nothing runs or the time is up.
+ * Stops a node without cutting a request: not ready at once; no new requests once the balancer has
+ * moved on; exit when nothing runs or the time is up.
  */
 public final class NodeStop {
 
@@ -23,10 +23,21 @@
   private final RelayServer server;
   private final RelayState state;
   private final Duration gracePeriod;
+  private final Runnable exit;
   private Instant began = Instant.MAX;
 
-  /** Prepares a stop within the time that the platform gives. */
-  public NodeStop(EventLoop loop, RelayServer server, RelayState state, Duration gracePeriod) {
+  /**
+   * Prepares a stop.
+   *
+   * @param loop event loop
+   * @param server takes the callers' requests
+   * @param state told that the node stops
+   * @param gracePeriod time that the platform gives
+   * @param exit ends the process
+   */
+  public NodeStop(
+      EventLoop loop, RelayServer server, RelayState state, Duration gracePeriod, Runnable exit) {
+    this.exit = exit;
     this.loop = loop;
     this.server = server;
     this.state = state;
@@ -50,6 +61,8 @@
     if (age.compareTo(BALANCER_DELAY) < 0) {
       return;
     }
+    // A request taken later could not be finished for sure, so its caller is sent elsewhere.
+    server.refuseNew();
     server.closeIdle();
     boolean isTimeUp = age.compareTo(gracePeriod.minus(EXIT_MARGIN)) >= 0;
     if (server.running() == 0 || isTimeUp) {
@@ -58,7 +71,7 @@
           .note(
               "node_stopped",
               event -> event.with("running", server.running()).with("clean", !isTimeUp));
-      Runtime.getRuntime().halt(0);
+      exit.run();
     }
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -41,6 +41,7 @@
 
   private static final Duration NO_CONFIGURATION_RETRY = Duration.ofMillis(500);
   private static final Duration NO_RUNNER_RETRY = Duration.ofMillis(400);
+  private static final Duration STOPPING_RETRY = Duration.ofMillis(50);
   private static final Duration RUNNER_FULL_RETRY = Duration.ofMillis(150);
 
   /** Callers wait as told up to a third of the time they have left, by the users' pages. */
@@ -110,6 +111,11 @@
       return;
     }
     head = read.get();
+    callerDeadline = began.plus(head.timeLeft().orElse(DEFAULT_TIME_LEFT));
+    if (server.isRefusing()) {
+      unavailable("stopping", "the node is stopping", STOPPING_RETRY);
+      return;
+    }
     Optional<RelayConfiguration> known = state.configuration();
     if (known.isEmpty()) {
       unavailable("no_configuration", "no configuration yet", NO_CONFIGURATION_RETRY);
@@ -128,7 +134,6 @@
       refuse(HttpResponseStatus.UNAUTHORIZED, "unknown_key", "unknown key", Optional.empty());
       return;
     }
-    callerDeadline = began.plus(head.timeLeft().orElse(DEFAULT_TIME_LEFT));
     Instant routeEnd = began.plus(route.timeout());
     end = callerDeadline.isBefore(routeEnd) ? callerDeadline : routeEnd;
     String service = route.service(point());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -35,6 +35,7 @@
   private final Set<CallerConnection> callers = new HashSet<>();
   private final Set<RelayCall> calls = new HashSet<>();
   private final Channel listener;
+  private boolean isRefusing;
 
   /** Starts to listen. */
   public RelayServer(EventLoop loop, Endpoint address, RelayState state, CallDialect dialect) {
@@ -158,6 +159,21 @@
     return calls.size();
   }
 
+  /** Takes no more connections, and refuses requests that still come. */
+  public void refuseNew() {
+    isRefusing = true;
+    listener.close();
+  }
+
+  boolean isRefusing() {
+    return isRefusing;
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return ((java.net.InetSocketAddress) listener.localAddress()).getPort();
+  }
+
   /** Closes the callers' connections that no request is on. */
   public void closeIdle() {
     List.copyOf(callers).forEach(CallerConnection::closeIfIdle);
