--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/NodeStop.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/NodeStop.java
@@ -12,7 +12,7 @@
 public final class NodeStop {
 
   /** The balancer asks once a second and moves on after two misses, by the users' pages. */
-  private static final Duration BALANCER_DELAY = Duration.ofMillis(2_600);
+  private static final Duration BALANCER_DELAY = Duration.ofMillis(2_900);
 
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
