--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -18,11 +18,14 @@
  */
 public final class WeightsRollout {
 
-  /** Runners that change at once; more make each change take longer, by the users' sheet. */
-  public static final int AT_ONCE = 2;
+  /**
+   * Runners that change at once. Only two load at full speed, by the users' sheet, but most of a
+   * change is the wait for running requests.
+   */
+  public static final int AT_ONCE = 3;
 
   /** Time after which an order that shows no effect is given again. */
-  public static final Duration ORDER_PATIENCE = Duration.ofMillis(1_500);
+  public static final Duration ORDER_PATIENCE = Duration.ofMillis(3_000);
 
   private final Map<String, Change> changes = new HashMap<>();
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -127,6 +127,27 @@
     return stores.isEmpty() ? List.of() : keepPlan.saves(salt, shared, stores, now());
   }
 
+  /** Returns the stores that drop nothing on their own and tell of their changes. */
+  List<Service.Store> managedStores() {
+    return usableStores().stream().filter(Service.Store::isManaged).toList();
+  }
+
+  /** Returns some of the parts that a store keeps for weights that were replaced. */
+  List<PartDirectory.Key> replacedParts(Endpoint store, int most) {
+    return parts.otherSalts(store, this::isCurrent).stream().limit(most).toList();
+  }
+
+  private boolean isCurrent(String salt) {
+    for (Map.Entry<String, Long> entry : newestWeights.entrySet()) {
+      String prefix = entry.getKey() + "@";
+      if (salt.startsWith(prefix)) {
+        String version = salt.substring(prefix.length()).split("#", 2)[0];
+        return version.equals(Long.toString(entry.getValue()));
+      }
+    }
+    return true;
+  }
+
   private List<Service.Store> usableStores() {
     return configuration.map(RelayConfiguration::stores).orElse(List.of()).stream()
         .filter(store -> parts.isFresh(store.endpoint(), now()))
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerOrders.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerOrders.java
@@ -1,8 +1,11 @@
 package org.dragonflyhill.daemon.relay;
 
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.PartDirectory;
 import org.dragonflyhill.core.relay.RunnerInfo;
 
 /** Orders to runners. Nothing is null; results are handed over on the event loop. */
@@ -20,6 +23,9 @@
   /** Asks a runner for its weight versions. */
   void weights(RunnerInfo runner, Consumer<Either<String, Map<String, Long>>> done);
 
+  /** Frees parts in a managed store at once. */
+  void free(Endpoint store, List<PartDirectory.Key> parts, Consumer<Either<String, Boolean>> done);
+
   /** What a runner says to an order. */
   enum Outcome {
     /** It carries the order out. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -11,7 +11,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.dragonflyhill.core.relay.DutyLease;
+import org.dragonflyhill.core.relay.PartDirectory;
 import org.dragonflyhill.core.relay.Runner;
+import org.dragonflyhill.core.relay.Service;
 import org.dragonflyhill.core.relay.WeightsRollout;
 
 /**
@@ -26,11 +28,19 @@
   private static final Duration LONGEST_PATIENCE = Duration.ofMillis(500);
 
   /** Pause between questions to a runner that changes its weights. */
-  private static final Duration QUESTION_INTERVAL = Duration.ofMillis(250);
+  private static final Duration QUESTION_INTERVAL = Duration.ofMillis(150);
 
   /** Difference of steady and wall clock that shows a suspension, in nanoseconds. */
   private static final long SUSPENSION_NANOS = Duration.ofMillis(300).toNanos();
 
+  /** Time after which no request can run that was sent to a runner with replaced weights. */
+  private static final Duration FREE_DELAY = Duration.ofMillis(3_000);
+
+  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
+
+  /** Parts that one call frees. */
+  private static final int MAX_FREED = 500;
+
   private final EventLoop loop;
   private final RelayState state;
   private final DutyLog log;
@@ -44,6 +54,8 @@
   private boolean isAppending;
   private Instant workSince = Instant.MAX;
   private Duration patience = Duration.ZERO;
+  private Instant currentSince = Instant.MAX;
+  private Instant sweptAt = Instant.MIN;
   private long clockGapNanos;
 
   /**
@@ -97,6 +109,11 @@
     watchClock(now);
     List<WeightsRollout.Behind> behind =
         WeightsRollout.behind(state.runners().all(), state.newestWeights());
+    if (behind.isEmpty()) {
+      sweep(now);
+    } else {
+      currentSince = Instant.MAX;
+    }
     if (behind.isEmpty() || state.isStopping()) {
       workSince = Instant.MAX;
       rollout.clear();
@@ -112,6 +129,49 @@
     }
   }
 
+  /**
+   * Frees parts of replaced weights in managed stores once no runner can read them any more. Only
+   * the last holder of the lease does, so that a part is freed once.
+   */
+  private void sweep(Instant now) {
+    if (currentSince.equals(Instant.MAX)) {
+      currentSince = now;
+    }
+    boolean isMine = lease.lastHolder().filter(holder::equals).isPresent();
+    boolean isSettled = Duration.between(currentSince, now).compareTo(FREE_DELAY) >= 0;
+    boolean isDue = Duration.between(sweptAt, now).compareTo(SWEEP_INTERVAL) >= 0;
+    if (!isMine || !isSettled || !isDue) {
+      return;
+    }
+    sweptAt = now;
+    for (Service.Store store : state.managedStores()) {
+      List<PartDirectory.Key> old = state.replacedParts(store.endpoint(), MAX_FREED);
+      if (!old.isEmpty()) {
+        state
+            .log()
+            .note(
+                "parts_freed",
+                event -> event.with("store", store.name()).with("parts", old.size()));
+        orders.free(store.endpoint(), old, result -> freed(store, old, result));
+      }
+    }
+  }
+
+  private void freed(
+      Service.Store store, List<PartDirectory.Key> parts, Either<String, Boolean> result) {
+    if (result.isLeft()) {
+      state
+          .log()
+          .note(
+              "free_unanswered",
+              event -> event.with("store", store.name()).with("error", result.getLeft()));
+      return;
+    }
+    for (PartDirectory.Key key : parts) {
+      state.parts().set(store.endpoint(), key.salt(), key.part(), 0);
+    }
+  }
+
   private Duration patience() {
     if (lease.lastHolder().filter(holder::equals).isPresent()) {
       return Duration.ZERO;
@@ -247,4 +307,18 @@
     askedAt.put(runner.id(), now);
     orders.weights(runner.info(), result -> result.peek(weights -> weights.forEach(runner::runs)));
   }
+
+  private void told(Runner runner, Map<String, Long> weights) {
+    weights.forEach(
+        (model, version) -> {
+          if (version > runner.weightVersion(model)) {
+            state
+                .log()
+                .note(
+                    "weights_changed",
+                    event -> event.with("runner", runner.id()).with("version", version));
+          }
+          runner.runs(model, version);
+        });
+  }
 }
