--- /dev/null
+++ b/core/src/test/java/org/dragonflyhill/core/relay/EventStreamTest.java
@@ -0,0 +1,102 @@
+package org.dragonflyhill.core.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Cutting of streams, routes' shares and the shared retry budget. */
+public final class EventStreamTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1_000);
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  /** However the bytes are cut, whole events come out unchanged and in order. */
+  @Test
+  public void handsOverWholeEventsOnly() {
+    StringBuilder text = new StringBuilder();
+    for (int i = 1; i <= 50; i++) {
+      text.append("id: ").append(i).append(i % 3 == 0 ? "\r\n" : "\n");
+      text.append("data: x").append("y".repeat(i)).append(i % 3 == 0 ? "\r\n\r\n" : "\n\n");
+    }
+    byte[] all = bytes(text.toString());
+    for (int seed = 0; seed < 50; seed++) {
+      Random random = new Random(seed);
+      EventStream stream = new EventStream();
+      StringBuilder out = new StringBuilder();
+      int at = 0;
+      while (at < all.length) {
+        int length = Math.min(all.length - at, 1 + random.nextInt(40));
+        byte[] piece = java.util.Arrays.copyOfRange(all, at, at + length);
+        out.append(new String(stream.take(piece), StandardCharsets.ISO_8859_1));
+        at += length;
+      }
+      assertEquals(out.toString(), text.toString(), "seed " + seed);
+      assertEquals(stream.lastId(), Optional.of("50"));
+      assertFalse(stream.hasPartial());
+    }
+  }
+
+  /** What was cut within an event is dropped; the stream goes on after the last whole one. */
+  @Test
+  public void dropsThePartialEvent() {
+    EventStream stream = new EventStream();
+    assertEquals(stream.take(bytes("id: 1\ndata: a\n\nid: 2\nda")).length, 15);
+    assertTrue(stream.hasPartial());
+    assertEquals(stream.lastId(), Optional.of("1"));
+    stream.dropPartial();
+    assertEquals(new String(stream.take(bytes("id: 2\ndata: b\n\n"))), "id: 2\ndata: b\n\n");
+    assertEquals(stream.lastId(), Optional.of("2"));
+  }
+
+  /** Repeats of a node stay within its share of the budget in every window. */
+  @Test
+  public void budgetHoldsInEveryWindow() {
+    var limits = new SharedRetryBudget.Limits(Duration.ofSeconds(10), 0.2, 40, 0.5);
+    SharedRetryBudget budget = new SharedRetryBudget(limits);
+    int granted = 0;
+    for (int i = 0; i < 100; i++) {
+      budget.requested(NOW);
+      granted += budget.tryTake(4, NOW) ? 1 : 0;
+    }
+    assertTrue(granted <= 100 * 0.2 * 0.5 + 40 * 0.5 / 4, "granted " + granted);
+    assertTrue(granted >= 10, "granted " + granted);
+    Instant later = NOW.plusSeconds(11);
+    int again = 0;
+    for (int i = 0; i < 50; i++) {
+      again += budget.tryTake(4, later) ? 1 : 0;
+    }
+    assertEquals(again, 5);
+  }
+
+  /** Shares of a route are kept by weight. */
+  @Test
+  public void splitsByWeight() {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/x/",
+            Route.Kind.SAFE,
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(1),
+            1,
+            java.util.List.of(new Route.Share("a", 90), new Route.Share("b", 10)),
+            1,
+            false,
+            false);
+    assertEquals(route.service(0), "a");
+    assertEquals(route.service(0.899), "a");
+    assertEquals(route.service(0.9), "b");
+    assertEquals(route.service(0.9999), "b");
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/dragonflyhill/core/relay/KeepPlanTest.java
@@ -0,0 +1,105 @@
+package org.dragonflyhill.core.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.Test;
+
+/** Which store keeps a part, and what is known of kept parts. */
+public final class KeepPlanTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1_000);
+  private static final String SALT = "m@1";
+
+  private final List<Service.Store> stores =
+      List.of(store("a", 1, 10_000), store("b", 2, 10_000), store("c", 3, 40_000));
+
+  private static Service.Store store(String name, int host, long tokens) {
+    return new Service.Store(name, new Endpoint("10.9.0." + host, 80), "z", tokens, 1e9, true, 4);
+  }
+
+  private static List<Prompt.Part> part(int number) {
+    return List.of(new Prompt.Part("p" + number, 500));
+  }
+
+  /** Two nodes that know the same choose the same store, and larger stores get more. */
+  @Test
+  public void nodesAgree() {
+    int[] counts = new int[3];
+    for (int i = 0; i < 60; i++) {
+      var first = new KeepPlan(new PartDirectory()).saves(SALT, part(i), stores, NOW).get(0);
+      var second = new KeepPlan(new PartDirectory()).saves(SALT, part(i), stores, NOW).get(0);
+      assertEquals(first, second);
+      counts[first.orElseThrow().host().charAt(7) - '1']++;
+    }
+    assertTrue(counts[2] > 25, "large store got " + counts[2]);
+    assertTrue(counts[0] > 2 && counts[1] > 2, counts[0] + ", " + counts[1]);
+  }
+
+  /** A part is saved once while it is on its way and when it is kept. */
+  @Test
+  public void savesOnce() {
+    PartDirectory directory = new PartDirectory();
+    KeepPlan plan = new KeepPlan(directory);
+    Endpoint chosen = plan.saves(SALT, part(1), stores, NOW).get(0).orElseThrow();
+    assertEquals(plan.saves(SALT, part(1), stores, NOW.plusMillis(100)).get(0), Optional.empty());
+    directory.set(chosen, SALT, "p1", 500);
+    Instant later = NOW.plus(KeepPlan.PENDING_FOR).plusMillis(1);
+    assertEquals(plan.saves(SALT, part(1), stores, later).get(0), Optional.empty());
+    directory.forget(chosen);
+    assertTrue(plan.saves(SALT, part(1), stores, later).get(0).isPresent());
+  }
+
+  /** A full store is passed over; managed stores would lose the save. */
+  @Test
+  public void respectsRoom() {
+    KeepPlan plan = new KeepPlan(new PartDirectory());
+    List<Service.Store> small = List.of(store("a", 1, 1_100));
+    assertTrue(plan.saves(SALT, part(1), small, NOW).get(0).isPresent());
+    assertTrue(plan.saves(SALT, part(2), small, NOW).get(0).isPresent());
+    assertFalse(plan.saves(SALT, part(3), small, NOW).get(0).isPresent());
+  }
+
+  /** Totals follow changes, also of parts that shrink. */
+  @Test
+  public void countsTokens() {
+    PartDirectory directory = new PartDirectory();
+    Endpoint holder = new Endpoint("10.0.0.1", 80);
+    directory.set(holder, SALT, "a", 500);
+    directory.set(holder, SALT, "b", 300);
+    directory.set(holder, SALT, "a", 128);
+    assertEquals(directory.total(holder), 428);
+    assertFalse(directory.holds(holder, SALT, new Prompt.Part("a", 500)));
+    directory.set(holder, SALT, "b", 0);
+    assertEquals(directory.total(holder), 128);
+    directory.forget(holder);
+    assertEquals(directory.total(holder), 0);
+  }
+
+  /** Cache of another salt is never found: organisations and weights stay apart. */
+  @Test
+  public void saltsStayApart() {
+    PartDirectory directory = new PartDirectory();
+    Endpoint holder = new Endpoint("10.0.0.1", 80);
+    directory.set(holder, "m@1", "a", 500);
+    assertEquals(directory.tokens(holder, "m@2", "a"), 0);
+    assertEquals(directory.tokens(holder, "m@1#granja", "a"), 0);
+    assertEquals(
+        directory.otherSalts(holder, "m@2"::equals), List.of(new PartDirectory.Key("m@1", "a")));
+  }
+
+  /** What a silent holder had is not relied upon. */
+  @Test
+  public void silentHolderIsNotFresh() {
+    PartDirectory directory = new PartDirectory();
+    Endpoint holder = new Endpoint("10.0.0.1", 80);
+    assertFalse(directory.isFresh(holder, NOW));
+    directory.heard(holder, NOW);
+    assertTrue(directory.isFresh(holder, NOW.plusMillis(1_600)));
+    assertFalse(directory.isFresh(holder, NOW.plusMillis(1_601)));
+  }
+}
