--- a/core/src/main/java/org/dragonflyhill/core/relay/DutyLease.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/DutyLease.java
@@ -67,7 +67,7 @@
 
   /** Notes that this node's record was appended at an offset. */
   public void granted(long offset, Instant sentAt, Instant now) {
-    long token = held.map(Held::token).orElse(offset);
+    final long token = held.map(Held::token).orElse(offset);
     end = offset + 1;
     lastHolder = Optional.of(holder);
     lastSeenAt = now;
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerChoiceTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerChoiceTest.java
@@ -261,7 +261,7 @@
   @Test
   public void spreadsByMemory() {
     Runner full = runner("r1", 1);
-    Runner free = runner("r2", 2);
+    final Runner free = runner("r2", 2);
     full.sent(1, 0, 113_000, NOW);
     full.answered(1, 0, NOW);
     hold(full.info().endpoint());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -160,8 +160,8 @@
       return;
     }
     if (content instanceof LastHttpContent) {
-      HttpRequest request = head.get();
-      ByteBuf whole = body;
+      final HttpRequest request = head.get();
+      final ByteBuf whole = body;
       head = Optional.empty();
       body = Unpooled.compositeBuffer();
       isHeadBegun = false;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -209,7 +209,7 @@
     }
 
     private void fail(String reason) {
-      Optional<Consumer<Either<Failure, Answer>>> done = waiting;
+      final Optional<Consumer<Either<Failure, Answer>>> done = waiting;
       waiting = Optional.empty();
       timer.ifPresent(running -> running.cancel(false));
       channel.close();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerReportCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerReportCodec.java
@@ -56,11 +56,11 @@
       if (schema != SCHEMA) {
         return Either.left("schema " + schema);
       }
-      String node = unpacker.unpackString();
-      long incarnation = unpacker.unpackLong();
-      long sequence = unpacker.unpackLong();
-      boolean isLogInReach = unpacker.unpackBoolean();
-      boolean isStopping = unpacker.unpackBoolean();
+      final String node = unpacker.unpackString();
+      final long incarnation = unpacker.unpackLong();
+      final long sequence = unpacker.unpackLong();
+      final boolean isLogInReach = unpacker.unpackBoolean();
+      final boolean isStopping = unpacker.unpackBoolean();
       Map<String, PeerReport.Load> loads = new HashMap<>();
       for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
         loads.put(unpacker.unpackString(), load(unpacker));
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -230,7 +230,7 @@
       server.connections().release(connection);
       return;
     }
-    Instant now = state.now();
+    final Instant now = state.now();
     var out = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
     HttpHeaders headers = out.headers();
     headers.add(request.headers());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -33,7 +33,7 @@
   private final InstantSource clock;
   private final DecisionLog log;
   private final NodeMetrics metrics;
-  private final SharedRetryBudget.Limits retryLimits;
+  private SharedRetryBudget.Limits retryLimits;
   private final RunnerTable runners = new RunnerTable();
   private final PartDirectory parts = new PartDirectory();
   private final PeerLoads peers = new PeerLoads();
@@ -217,6 +217,14 @@
     ids.forEach(id -> log.note("runner_gone", event -> event.with("runner", id)));
   }
 
+  /** Notes that the budget for repeats has another size now. */
+  public void retryLimits(SharedRetryBudget.Limits limits) {
+    if (!limits.equals(retryLimits)) {
+      retryLimits = limits;
+      retryBudgets.clear();
+    }
+  }
+
   /** Returns the retry budget of a service. */
   SharedRetryBudget retryBudget(String service) {
     return retryBudgets.computeIfAbsent(service, any -> new SharedRetryBudget(retryLimits));
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -288,7 +288,6 @@
       return;
     }
     switch (result.get()) {
-      case ACCEPTED, BUSY -> {}
       case HOLDS -> runner.runs(entry.model(), entry.version());
       case REJECTED -> rollout.refused(runner.id());
       case FENCED -> {
@@ -296,6 +295,9 @@
         lease.drop();
         rollout.clear();
       }
+      default -> {
+        // The runner carries an order out; whether it was this one shows in its report.
+      }
     }
   }
 
