Learn which sources are slow; order weights by the load of all nodes

Change: SourceSpeeds, learnt from first tokens that rest on a fetch, fading in 2 s; a part is read where no fetch is sooner; WeightsRollout counts the requests of all nodes.

--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -20,6 +20,12 @@
   /** Least time that a fetch takes, in seconds. */
   private static final double FETCH_SECONDS = 0.002;
 
+  /** Time that a fetch from a runner must save against one from a store, in seconds. */
+  private static final double RUNNER_SOURCE_SECONDS = 0.03;
+
+  /** Part of a first token's time from which on a fetch is held to account for its delay. */
+  private static final double FETCH_SHARE = 0.25;
+
   /** A transfer between availability zones takes this many times as long, from the users' pages. */
   private static final double CROSS_ZONE_FACTOR = 2;
 
@@ -52,6 +58,7 @@
 
   private final PartDirectory directory;
   private final PeerLoads peers;
+  private final SourceSpeeds speeds = new SourceSpeeds();
   private final String ownZone;
 
   /** Creates a choice by what a directory and peers tell. */
@@ -107,7 +114,7 @@
     boolean isUnbroken = true;
     for (int i = 0; i < shared.size(); i++) {
       Prompt.Part part = shared.get(i);
-      Optional<Source> source = source(runner, salt, part, sources);
+      Optional<Source> source = source(request, runner, salt, part, sources, now);
       // Also for a part that the runner should have: it may have dropped it by then.
       fetches.add(source.map(Source::endpoint));
       if (i < leading) {
@@ -115,7 +122,7 @@
       }
       isUnbroken &= source.isPresent();
       if (isUnbroken) {
-        fetchSeconds += fetchSeconds(request, source.get(), runner, part);
+        fetchSeconds += fetchSeconds(request, source.get(), runner, part, now);
         present += part.tokens();
       }
     }
@@ -136,34 +143,67 @@
     if (runner.weightVersion(request.prompt().model()) < request.newestVersion()) {
       cost += OLD_WEIGHTS_SECONDS;
     }
-    return new Placed(runner, salt, fetches, unread, firstToken, cost, running(runner, now));
+    return new Placed(
+        runner, salt, fetches, unread, fetchSeconds, firstToken, cost, running(runner, now));
+  }
+
+  private double fetchSeconds(
+      Request request, Source source, Runner runner, Prompt.Part part, Instant now) {
+    double seconds = sheetSeconds(request, source, runner, part);
+    return FETCH_SECONDS + seconds * speeds.factor(source.endpoint(), now);
   }
 
-  private double fetchSeconds(Request request, Source source, Runner runner, Prompt.Part part) {
+  private static double sheetSeconds(
+      Request request, Source source, Runner runner, Prompt.Part part) {
     double seconds = part.tokens() * request.bytesPerToken() / source.linkBytesPerSecond();
     boolean isNear = source.zone().equals(runner.info().zone());
-    return FETCH_SECONDS + (isNear ? seconds : seconds * CROSS_ZONE_FACTOR);
+    return isNear ? seconds : seconds * CROSS_ZONE_FACTOR;
   }
 
+  /** Returns where a part is fetched from soonest, empty where reading it costs less. */
   private Optional<Source> source(
-      Runner runner, String salt, Prompt.Part part, Collection<Source> sources) {
+      Request request,
+      Runner runner,
+      String salt,
+      Prompt.Part part,
+      Collection<Source> sources,
+      Instant now) {
     Source best = null;
+    double least =
+        part.tokens() / READ_TOKENS_PER_SECOND + part.tokens() * REREAD_SECONDS_PER_TOKEN;
     for (Source source : sources) {
       if (source.endpoint().equals(runner.info().endpoint())
           || !directory.holds(source.endpoint(), salt, part)) {
         continue;
       }
-      if (best == null || rank(source, runner) > rank(best, runner)) {
+      // A store keeps what it has; a runner may drop it before the fetch begins.
+      double risk = source.isLasting() ? 0 : RUNNER_SOURCE_SECONDS;
+      double seconds = fetchSeconds(request, source, runner, part, now) + risk;
+      if (seconds < least) {
         best = source;
+        least = seconds;
       }
     }
     return Optional.ofNullable(best);
   }
 
-  /** A store keeps what it has; a runner may drop it before the fetch begins. */
-  private static int rank(Source source, Runner runner) {
-    int near = source.zone().equals(runner.info().zone()) ? 1 : 0;
-    return (source.isLasting() ? 2 : 0) + near;
+  /** Notes how long a first token took, to learn of slow runners and slow sources. */
+  public void measured(Placed placed, double seconds, Instant now) {
+    if (placed.fetchSeconds() > placed.firstTokenSeconds() * FETCH_SHARE) {
+      double rest = placed.firstTokenSeconds() - placed.fetchSeconds();
+      placed.fetches().stream()
+          .flatMap(Optional::stream)
+          .distinct()
+          .forEach(
+              source ->
+                  speeds.measured(
+                      source,
+                      Math.max(0, seconds - rest),
+                      placed.fetchSeconds() / speeds.factor(source, now),
+                      now));
+      return;
+    }
+    placed.runner().measured(seconds, placed.firstTokenSeconds());
   }
 
   private static long tokens(List<Prompt.Part> parts) {
@@ -254,6 +294,7 @@
    * @param salt salt of the request at this runner
    * @param fetches where it should fetch each shared part from if it lacks it
    * @param unreadTokens prompt tokens that are left to read
+   * @param fetchSeconds estimated time of the fetches
    * @param firstTokenSeconds estimated time to the first token
    * @param costSeconds cost by which runners are compared
    * @param running requests of all nodes that are at the runner
@@ -263,6 +304,7 @@
       String salt,
       List<Optional<Endpoint>> fetches,
       long unreadTokens,
+      double fetchSeconds,
       double firstTokenSeconds,
       double costSeconds,
       int running) {
--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 
 /**
  * Decides which runner changes its weights next: a few at a time, the least loaded first.
@@ -29,8 +30,15 @@
 
   private final Map<String, Change> changes = new HashMap<>();
 
-  /** Returns the open runners that are behind the newest weights, least loaded first. */
-  public static List<Behind> behind(Collection<Runner> runners, Map<String, Long> newest) {
+  /**
+   * Returns the open runners that are behind the newest weights, least loaded first.
+   *
+   * @param runners all runners
+   * @param newest newest weight version of each model
+   * @param running requests of all nodes at a runner
+   */
+  public static List<Behind> behind(
+      Collection<Runner> runners, Map<String, Long> newest, ToIntFunction<Runner> running) {
     List<Behind> behind = new ArrayList<>();
     for (Runner runner : runners) {
       for (String model : runner.info().weightVersions().keySet()) {
@@ -40,7 +48,7 @@
         }
       }
     }
-    behind.sort(Comparator.comparingInt(entry -> entry.runner().running()));
+    behind.sort(Comparator.comparingInt(entry -> running.applyAsInt(entry.runner())));
     return behind;
   }
 
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -36,7 +36,7 @@
   private List<String> next(WeightsRollout rollout, Instant now) {
     List<String> ids = new ArrayList<>();
     rollout
-        .next(WeightsRollout.behind(table.all(), NEWEST), now)
+        .next(WeightsRollout.behind(table.all(), NEWEST, Runner::running), now)
         .forEach(entry -> ids.add(entry.runner().id()));
     return ids;
   }
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerChoiceTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerChoiceTest.java
@@ -272,4 +272,24 @@
       assertEquals(placed.runner().id(), "r2");
     }
   }
+
+  /** A store whose link has become slow is passed over, and tried again when that has faded. */
+  @Test
+  public void avoidsSlowSources() {
+    Runner runner = runner("r1", 1);
+    Runner other = runner("r2", 2);
+    Endpoint store = new Endpoint("10.9.0.1", 80);
+    hold(store);
+    hold(other.info().endpoint());
+    var sources = List.of(new RunnerChoice.Source(store, "z1", LINK, true), source(other));
+    for (int i = 0; i < 10; i++) {
+      var placed = choice.prompt(request("k"), List.of(runner), sources, NOW).orElseThrow();
+      choice.measured(placed, 0.9, NOW);
+    }
+    var placed = choice.prompt(request("k"), List.of(runner), sources, NOW).orElseThrow();
+    assertEquals(placed.fetches().get(1), Optional.of(other.info().endpoint()));
+    var later = NOW.plus(SourceSpeeds.HALF_LIFE.multipliedBy(8));
+    var again = choice.prompt(request("k"), List.of(runner), sources, later).orElseThrow();
+    assertEquals(again.fetches().get(1), Optional.of(store));
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -530,8 +530,7 @@
         isAnswered = true;
         runner.answered(rank(), unread(), now);
         if (placed != null && !reply.isNotRun()) {
-          runner.measured(
-              Duration.between(sentAt, now).toNanos() / 1e9, placed.firstTokenSeconds());
+          state.choice().measured(placed, Duration.between(sentAt, now).toNanos() / 1e9, now);
         }
       }
       head.prompt()
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -108,7 +108,10 @@
     Instant now = state.now();
     watchClock(now);
     List<WeightsRollout.Behind> behind =
-        WeightsRollout.behind(state.runners().all(), state.newestWeights());
+        WeightsRollout.behind(
+            state.runners().all(),
+            state.newestWeights(),
+            runner -> runner.running() + state.peers().running(runner.id(), now));
     if (behind.isEmpty()) {
       sweep(now);
     } else {
