Expect the weights under whose salt a request was placed

A node thawed with many requests chosen; a 421 to the first taught it the runner's new version, and the others, still waiting for a connection, were sent with the salt of the old version and the expectation of the new one. Ruled out: fetches that outlast a change (the runner had changed 2 s before), stores. Change: the version is chosen with the salt. A 421 teaches one version more, no longer the newest, which would make the rollout pass the runner over.

--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -105,7 +105,8 @@
 
   private Placed evaluate(Request request, Runner runner, Collection<Source> sources, Instant now) {
     List<Prompt.Part> shared = request.prompt().sharedParts();
-    String salt = request.salts().salt(runner.weightVersion(request.prompt().model()));
+    long version = runner.weightVersion(request.prompt().model());
+    String salt = request.salts().salt(version);
     Endpoint endpoint = runner.info().endpoint();
     int leading = directory.leadingParts(endpoint, salt, shared, now);
     long present = tokens(shared.subList(0, leading));
@@ -140,11 +141,19 @@
             + penalty(runner, now)
             + zone(runner)
             + agreement(request.affinity(), runner);
-    if (runner.weightVersion(request.prompt().model()) < request.newestVersion()) {
+    if (version < request.newestVersion()) {
       cost += OLD_WEIGHTS_SECONDS;
     }
     return new Placed(
-        runner, salt, fetches, unread, fetchSeconds, firstToken, cost, running(runner, now));
+        runner,
+        version,
+        salt,
+        fetches,
+        unread,
+        fetchSeconds,
+        firstToken,
+        cost,
+        running(runner, now));
   }
 
   private double fetchSeconds(
@@ -291,7 +300,8 @@
    * A chosen runner.
    *
    * @param runner the runner
-   * @param salt salt of the request at this runner
+   * @param weightVersion version that the runner was seen to have, 0 if unknown
+   * @param salt salt of the request under that version
    * @param fetches where it should fetch each shared part from if it lacks it
    * @param unreadTokens prompt tokens that are left to read
    * @param fetchSeconds estimated time of the fetches
@@ -301,6 +311,7 @@
    */
   public record Placed(
       Runner runner,
+      long weightVersion,
       String salt,
       List<Optional<Endpoint>> fetches,
       long unreadTokens,
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerChoiceTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerChoiceTest.java
@@ -292,4 +292,18 @@
     var again = choice.prompt(request("k"), List.of(runner), sources, later).orElseThrow();
     assertEquals(again.fetches().get(1), Optional.of(store));
   }
+
+  /**
+   * The expected version belongs to the salt also if the runner is seen to change between choice
+   * and sending: hunted day of Strunova, trouble-2, seed 505514590092, where cache of old weights
+   * was used under new ones.
+   */
+  @Test
+  public void expectsTheVersionOfItsSalt() {
+    Runner runner = runner("r1", 1);
+    var placed = choice.prompt(request("k"), List.of(runner), List.of(), NOW).orElseThrow();
+    runner.runs("m", 2);
+    assertEquals(placed.salt(), "m@" + placed.weightVersion());
+    assertEquals(placed.weightVersion(), 1);
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -447,7 +447,8 @@
       if (placed == null || prompt.isEmpty()) {
         return Optional.empty();
       }
-      long version = runner.weightVersion(prompt.get().model());
+      // What was learnt of the runner since it was chosen would not fit the salt.
+      final long version = placed.weightVersion();
       List<Optional<org.dragonflyhill.core.relay.Endpoint>> fetches =
           new ArrayList<>(placed.fetches());
       while (fetches.size() < prompt.get().parts().size()) {
@@ -589,7 +590,9 @@
         return;
       }
       String model = head.prompt().get().model();
-      runner.runs(model, state.newestWeights().getOrDefault(model, 0L));
+      // It has changed at least once; more is not assumed, or a rollout would pass it over.
+      long newest = state.newestWeights().getOrDefault(model, 0L);
+      runner.runs(model, Math.min(newest, placed.weightVersion() + 1));
       tried.remove(runner.id());
     }
 
