--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -0,0 +1,203 @@
+package org.dragonflyhill.daemon.relay;
+
+import static org.awaitility.Awaitility.await;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.PartDirectory;
+import org.dragonflyhill.core.relay.RelayConfiguration;
+import org.dragonflyhill.core.relay.RunnerInfo;
+import org.dragonflyhill.core.relay.Service;
+import org.dragonflyhill.core.relay.SharedRetryBudget;
+import org.dragonflyhill.daemon.MonotonicClock;
+import org.dragonflyhill.daemon.NodeMetrics;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Bringing runners to new weights, and freeing what belonged to the old ones. */
+public final class WeightsControllerTest {
+
+  private static final Endpoint STORE = new Endpoint("10.9.0.1", 80);
+  private static final Duration TURN_GAP = Duration.ofSeconds(3);
+  private static final int RUNNERS = 5;
+
+  private MultiThreadIoEventLoopGroup group;
+  private EventLoop loop;
+  private RelayState state;
+  private FakeLog log;
+  private FakeOrders orders;
+
+  /** Starts a node that knows five runners with old weights and a store with old parts. */
+  @BeforeMethod
+  public void start() throws Exception {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = group.next();
+    log = new FakeLog();
+    orders = new FakeOrders();
+    MonotonicClock clock = new MonotonicClock();
+    state =
+        new RelayState(
+            "z",
+            new SharedRetryBudget.Limits(Duration.ofSeconds(10), 0.2, 10, 0.5),
+            clock,
+            new DecisionLog(clock),
+            new NodeMetrics());
+    onLoop(
+        () -> {
+          Service store = new Service.Store("k", STORE, "z", 100_000, 1e9, true, 4);
+          state.configure(
+              new RelayConfiguration(
+                  1,
+                  List.of(),
+                  List.of(store),
+                  List.of(),
+                  RelayConfiguration.CallerLimits.DEFAULT));
+          for (int i = 0; i < RUNNERS; i++) {
+            Endpoint endpoint = new Endpoint("10.0.0." + i, 80);
+            state.runnerListed(
+                new RunnerInfo("r" + i, "s", endpoint, "z", 8, false, Map.of("m", 1L), 1));
+          }
+          state.parts().set(STORE, "m@1", "old", 100);
+          state.parts().set(STORE, "m@2", "new", 100);
+          return null;
+        });
+    loop.scheduleWithFixedDelay(
+        () -> state.parts().heard(STORE, state.now()), 0, 100, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends the event loop. */
+  @AfterMethod
+  public void stop() throws InterruptedException {
+    group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync();
+  }
+
+  private <T> T onLoop(Callable<T> task) throws Exception {
+    return loop.submit(task).get();
+  }
+
+  private void control(String node) throws Exception {
+    onLoop(
+        () -> {
+          new WeightsController(
+                  loop, state, log, orders, node, 1, TURN_GAP, System::currentTimeMillis)
+              .start();
+          state.weightsNamed("m", 2);
+          return null;
+        });
+  }
+
+  /** All runners change, three at a time, under one token; then the old parts are freed. */
+  @Test
+  public void rollsOutAndFrees() throws Exception {
+    control("me");
+    await().atMost(Duration.ofSeconds(8)).until(() -> orders.changed.size() == RUNNERS);
+    assertTrue(orders.mostAtOnce <= 3, "at once: " + orders.mostAtOnce);
+    assertEquals(orders.tokens.stream().distinct().toList(), List.of(0L));
+    Instant changedAt = Instant.now();
+    await().atMost(Duration.ofSeconds(8)).until(() -> !orders.freed.isEmpty());
+    assertTrue(Duration.between(changedAt, Instant.now()).toMillis() > 2_500);
+    assertEquals(orders.freed, List.of(new PartDirectory.Key("m@1", "old")));
+  }
+
+  /** While another node holds the lease, nothing is ordered, and nothing is freed. */
+  @Test
+  public void leavesItToTheHolder() throws Exception {
+    log.append(0, "other/1", result -> {});
+    control("me");
+    await().during(Duration.ofMillis(1_200)).until(() -> orders.tokens.isEmpty());
+    await().atMost(Duration.ofSeconds(4)).until(() -> !orders.tokens.isEmpty());
+    assertEquals(orders.tokens.get(0), Long.valueOf(1));
+  }
+
+  /** A newer token seen by a runner ends this node's lease at once. */
+  @Test
+  public void stopsWhenFenced() throws Exception {
+    orders.outcome = RunnerOrders.Outcome.FENCED;
+    control("me");
+    await().until(() -> !orders.tokens.isEmpty());
+    int before = orders.tokens.size();
+    assertTrue(before <= 3, "orders before the refusal: " + before);
+  }
+
+  /** A log in memory that tells its follower of each record. */
+  private static final class FakeLog implements DutyLog {
+    private long end;
+    private Optional<String> holder = Optional.empty();
+    private Consumer<Newest> follower = newest -> {};
+
+    @Override
+    public void follow(Consumer<Newest> changed) {
+      follower = changed;
+      changed.accept(new Newest(end, holder));
+    }
+
+    @Override
+    public void append(long at, String newHolder, Consumer<Either<String, Outcome>> done) {
+      if (at != end) {
+        done.accept(Either.right(new Outcome.Overtaken()));
+        return;
+      }
+      end++;
+      holder = Optional.of(newHolder);
+      done.accept(Either.right(new Outcome.Appended(at)));
+      follower.accept(new Newest(end, holder));
+    }
+  }
+
+  /** Runners that change their weights at the second question. */
+  private static final class FakeOrders implements RunnerOrders {
+    private final List<Long> tokens = new CopyOnWriteArrayList<>();
+    private final List<String> changed = new CopyOnWriteArrayList<>();
+    private final List<PartDirectory.Key> freed = new CopyOnWriteArrayList<>();
+    private final Map<String, Integer> questions = new HashMap<>();
+    private volatile Outcome outcome = Outcome.ACCEPTED;
+    private volatile int mostAtOnce;
+
+    @Override
+    public void changeWeights(
+        RunnerInfo runner,
+        String model,
+        long version,
+        String holder,
+        long fencingToken,
+        Consumer<Either<String, Outcome>> done) {
+      tokens.add(fencingToken);
+      questions.put(runner.id(), 0);
+      mostAtOnce = Math.max(mostAtOnce, questions.size());
+      done.accept(Either.right(outcome));
+    }
+
+    @Override
+    public void weights(RunnerInfo runner, Consumer<Either<String, Map<String, Long>>> done) {
+      int asked = questions.merge(runner.id(), 1, Integer::sum);
+      if (asked >= 2 && !changed.contains(runner.id())) {
+        questions.remove(runner.id());
+        changed.add(runner.id());
+      }
+      done.accept(Either.right(Map.of("m", changed.contains(runner.id()) ? 2L : 1L)));
+    }
+
+    @Override
+    public void free(
+        Endpoint store, List<PartDirectory.Key> parts, Consumer<Either<String, Boolean>> done) {
+      freed.addAll(parts);
+      done.accept(Either.right(true));
+    }
+  }
+}
