Free replaced parts only when nothing can read them

The holder of the lease looked only at open runners and waited 3 s, while a leaving runner or one that it knew less well may still have had the old weights. Change: leaving runners count; parts are freed 20.4 s after all runners have changed, the longest time of callers and of a rollout together.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -33,8 +33,11 @@
   /** Difference of steady and wall clock that shows a suspension, in nanoseconds. */
   private static final long SUSPENSION_NANOS = Duration.ofMillis(300).toNanos();
 
-  /** Time after which no request can run that was sent to a runner with replaced weights. */
-  private static final Duration FREE_DELAY = Duration.ofMillis(3_000);
+  /**
+   * Usual time after which no request can read what belongs to replaced weights: the longest time
+   * that callers give, 12 s in the users' tables, and the 8.4 s within which all runners change.
+   */
+  public static final Duration FREE_DELAY = Duration.ofMillis(20_400);
 
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
@@ -48,6 +51,7 @@
   private final String node;
   private final String holder;
   private final LongSupplier wallMillis;
+  private final Duration freeDelay;
   private final DutyLease lease;
   private final WeightsRollout rollout = new WeightsRollout();
   private final Map<String, Instant> askedAt = new HashMap<>();
@@ -68,6 +72,7 @@
    * @param node name of this node
    * @param incarnation number of this start
    * @param turnGap time that must pass between orders of two living holders
+   * @param freeDelay time for which all runners have new weights before old parts are freed
    * @param wallMillis the time of day, to notice suspensions by
    */
   public WeightsController(
@@ -78,7 +83,9 @@
       String node,
       long incarnation,
       Duration turnGap,
+      Duration freeDelay,
       LongSupplier wallMillis) {
+    this.freeDelay = freeDelay;
     this.loop = loop;
     this.state = state;
     this.log = log;
@@ -112,7 +119,9 @@
             state.runners().all(),
             state.newestWeights(),
             runner -> runner.running() + state.peers().running(runner.id(), now));
-    if (behind.isEmpty()) {
+    // A leaving runner gets no orders, but what it runs may still read old parts.
+    if (behind.isEmpty()
+        && WeightsRollout.isCurrent(state.runners().all(), state.newestWeights())) {
       sweep(now);
     } else {
       currentSince = Instant.MAX;
@@ -141,7 +150,7 @@
       currentSince = now;
     }
     boolean isMine = lease.lastHolder().filter(holder::equals).isPresent();
-    boolean isSettled = Duration.between(currentSince, now).compareTo(FREE_DELAY) >= 0;
+    boolean isSettled = Duration.between(currentSince, now).compareTo(freeDelay) >= 0;
     boolean isDue = Duration.between(sweptAt, now).compareTo(SWEEP_INTERVAL) >= 0;
     if (!isMine || !isSettled || !isDue) {
       return;
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -35,6 +35,7 @@
 
   private static final Endpoint STORE = new Endpoint("10.9.0.1", 80);
   private static final Duration TURN_GAP = Duration.ofSeconds(3);
+  private static final Duration FREE_DELAY = Duration.ofSeconds(3);
   private static final int RUNNERS = 5;
 
   private MultiThreadIoEventLoopGroup group;
@@ -95,7 +96,15 @@
     onLoop(
         () -> {
           new WeightsController(
-                  loop, state, log, orders, node, 1, TURN_GAP, System::currentTimeMillis)
+                  loop,
+                  state,
+                  log,
+                  orders,
+                  node,
+                  1,
+                  TURN_GAP,
+                  FREE_DELAY,
+                  System::currentTimeMillis)
               .start();
           state.weightsNamed("m", 2);
           return null;
@@ -115,6 +124,27 @@
     assertEquals(orders.freed, List.of(new PartDirectory.Key("m@1", "old")));
   }
 
+  /**
+   * A leaving runner gets no order, and while it has old weights nothing of them is freed: hunted
+   * day of Strunova, hunt-0978-19, where a runner read a part that was freed meanwhile.
+   */
+  @Test
+  public void freesNothingThatLeavingRunnerMayRead() throws Exception {
+    onLoop(
+        () -> {
+          Endpoint endpoint = new Endpoint("10.0.0.9", 80);
+          state.runnerListed(
+              new RunnerInfo("leaving", "s", endpoint, "z", 8, true, Map.of("m", 1L), 1));
+          return null;
+        });
+    control("me");
+    await().atMost(Duration.ofSeconds(8)).until(() -> orders.changed.size() == RUNNERS);
+    await()
+        .during(Duration.ofSeconds(4))
+        .atMost(Duration.ofSeconds(6))
+        .until(orders.freed::isEmpty);
+  }
+
   /** While another node holds the lease, nothing is ordered, and nothing is freed. */
   @Test
   public void leavesItToTheHolder() throws Exception {
