--- a/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
@@ -1,7 +1,6 @@
 package org.dragonflyhill.core.relay;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -78,9 +77,4 @@
   public Optional<String> lastId() {
     return lastId;
   }
-
-  /** Returns the bytes held back, as text for a log line. */
-  public String partialText() {
-    return pending.toString(StandardCharsets.ISO_8859_1);
-  }
 }
