Close the listener of a stopping node when callers have turned away

Cause: connections that the kernel had set up but the node had not yet accepted were reset when the listener closed; callers that opened one at that moment saw a reset. Change: after the last running request the node waits until no connection was opened for 250 ms, at most 3 s, then closes its listener. It logs how many requests it took.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/ConnectionLimit.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ConnectionLimit.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.util.AttributeKey;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -21,14 +22,21 @@
 
   private final int limit;
   private final AtomicInteger open = new AtomicInteger();
+  private volatile Instant lastOpened = Instant.EPOCH;
 
   /** Creates a limit. */
   ConnectionLimit(int limit) {
     this.limit = limit;
   }
 
-  /** Counts a new connection until it closes. */
-  void opened(Channel channel) {
+  /**
+   * Counts a new connection until it closes.
+   *
+   * @param channel the connection
+   * @param now the present time
+   */
+  void opened(Channel channel, Instant now) {
+    lastOpened = now;
     int count = open.incrementAndGet();
     channel.closeFuture().addListener(closed -> open.decrementAndGet());
     if (count <= limit) {
@@ -47,6 +55,11 @@
     return channel.hasAttr(IS_OVER);
   }
 
+  /** Returns whether no connection was opened for some time. */
+  boolean isQuiet(Duration time, Instant now) {
+    return lastOpened.plus(time).isBefore(now);
+  }
+
   /** Returns the number of open connections. */
   int open() {
     return open.get();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/DrainController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/DrainController.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -26,11 +27,13 @@
   private static final int TOLD_REQUESTS = 20;
 
   private final Map<String, Entry> running = new ConcurrentHashMap<>();
+  private final AtomicLong requests = new AtomicLong();
   private final Sinks.Empty<Void> aborted = Sinks.empty();
   private volatile Phase phase = Phase.STARTING;
 
   /** Notes the start of a request. */
   public Running begin(String requestId, Instant now) {
+    requests.incrementAndGet();
     running.put(requestId, new Entry(now, isRefusing(), new CopyOnWriteArrayList<>()));
     return () -> end(requestId);
   }
@@ -90,6 +93,11 @@
     return running.size();
   }
 
+  /** Returns the number of requests since the start, refused ones too. */
+  public long requests() {
+    return requests.get();
+  }
+
   /** Returns the requests that have run longest, oldest first. */
   public List<RunningRequest> oldest(Instant now) {
     return running.entrySet().stream()
--- a/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
@@ -12,6 +12,7 @@
 import org.dragonflyhill.core.Refusal;
 import org.dragonflyhill.core.RefusalReason;
 import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.ConnectionObserver;
@@ -41,6 +42,7 @@
   private static final int MAX_HEADER_BYTES = 16 * 1_024;
   private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
   private static final Duration CONNECTION_RETRY_AFTER = Duration.ofSeconds(1);
+  private static final Duration QUIET_POLL = Duration.ofMillis(20);
   private static final String BEARER = "Bearer ";
 
   private final DaemonSettings settings;
@@ -92,6 +94,18 @@
     return server.port();
   }
 
+  /**
+   * Completes when no caller has opened a connection for some time. A connection that the system
+   * has set up but this process has not accepted is reset with the listener.
+   *
+   * @param quietTime the time without a new connection
+   */
+  public Mono<Void> whenQuiet(Duration quietTime) {
+    return Flux.interval(Duration.ZERO, QUIET_POLL)
+        .takeUntil(tick -> connections.isQuiet(quietTime, clock.instant()))
+        .then();
+  }
+
   /** Takes no more connections; those that are open are served on. */
   public void stopListening() {
     server.dispose();
@@ -110,7 +124,7 @@
   }
 
   private void opened(Channel channel) {
-    connections.opened(channel);
+    connections.opened(channel, clock.instant());
     HeaderTimeout.watch(channel, settings.bodyTimeout(), metrics);
   }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/Node.java
@@ -18,6 +18,8 @@
 
   private static final Logger LOGGER = LogManager.getLogger(Node.class);
   private static final Duration TELL_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration QUIET_TIME = Duration.ofMillis(250);
+  private static final Duration LONGEST_QUIET_WAIT = Duration.ofSeconds(3);
   private static final Duration LAST_REQUESTS_TIME = Duration.ofMillis(300);
   private static final Duration LAST_ANSWERS_TIME = Duration.ofSeconds(5);
   private static final Duration STARTED_POLL = Duration.ofMillis(50);
@@ -75,7 +77,8 @@
 
   /**
    * Stops without cutting a request: not ready, wait for the balancer, refuse new requests, finish
-   * the running ones, close. Requests that outlast the longest stop get an error.
+   * the running ones, wait until callers have turned elsewhere, close. Requests that outlast the
+   * longest stop get an error.
    *
    * @return whether all requests were finished
    */
@@ -89,11 +92,16 @@
       tell("node_stop_timed_out");
       drain.abort();
     }
+    frontend.whenQuiet(QUIET_TIME).timeout(LONGEST_QUIET_WAIT, Mono.empty()).block();
     frontend.stopListening();
     // Requests that were on their way still get their refusal.
     Mono.delay(LAST_REQUESTS_TIME).block();
     drain.whenIdle().timeout(LAST_ANSWERS_TIME, Mono.empty()).block();
-    LogEvent.of("node_stopped").with("node", settings.node()).with("clean", isClean).info(LOGGER);
+    LogEvent.of("node_stopped")
+        .with("node", settings.node())
+        .with("clean", isClean)
+        .with("requests", drain.requests())
+        .info(LOGGER);
     close();
     return isClean;
   }
