Free parts of each weight version once its last fetch has ended

Ruled out: freeing at once (a request that is under way may fetch until 2 s after its sending); judging by the newest version only (the first one's parts stay until the third is everywhere). Change: WeightsInUse keeps, for each model, from when on all runners had at least a version. Parts of older ones go 2.4 s later. A runner that left the list with old weights counts for another 20.4 s, as before, and nothing goes in the first 20.4 s of a node. A request carries no fetch while the runners' clock is unknown, since its fetch would have no end. Refusals for load name the parts of the estimate.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Which runner or store holds which parts of prompts, as far as events and answers tell.
@@ -102,10 +103,10 @@
     return totals.getOrDefault(holder, 0L);
   }
 
-  /** Returns the parts that a holder has under salts other than the given ones. */
-  public List<Key> otherSalts(Endpoint holder, java.util.function.Predicate<String> isCurrent) {
+  /** Returns the parts that a holder has under some salts. */
+  public List<Key> under(Endpoint holder, Predicate<String> isWanted) {
     return held.getOrDefault(holder, Map.of()).keySet().stream()
-        .filter(key -> !isCurrent.test(key.salt()))
+        .filter(key -> isWanted.test(key.salt()))
         .toList();
   }
 
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -129,10 +129,12 @@
     }
     long unread = Math.max(0, request.prompt().promptTokens() - present);
     long reread = Math.max(0, tokens(shared) - present);
+    final long unreadAhead = unreadBefore(runner, request.urgency(), now);
+    final double memorySeconds = memorySeconds(request, runner, now);
     double waitSeconds =
-        unreadBefore(runner, request.urgency(), now) / READ_TOKENS_PER_SECOND
+        unreadAhead / READ_TOKENS_PER_SECOND
             + running(runner, now) * SECONDS_PER_RUNNING
-            + memorySeconds(request, runner, now);
+            + memorySeconds;
     double firstToken =
         (waitSeconds + fetchSeconds + unread / READ_TOKENS_PER_SECOND) * runner.slowness();
     double cost =
@@ -150,6 +152,8 @@
         salt,
         fetches,
         unread,
+        unreadAhead,
+        memorySeconds,
         fetchSeconds,
         firstToken,
         cost,
@@ -245,7 +249,7 @@
     return runner.running() + peers.running(runner.id(), now);
   }
 
-  private double unreadBefore(Runner runner, int urgency, Instant now) {
+  private long unreadBefore(Runner runner, int urgency, Instant now) {
     return runner.unreadBefore(urgency) + peers.unreadBefore(runner.id(), urgency, now);
   }
 
@@ -304,6 +308,8 @@
    * @param salt salt of the request under that version
    * @param fetches where it should fetch each shared part from if it lacks it
    * @param unreadTokens prompt tokens that are left to read
+   * @param unreadAhead tokens of other prompts that are read before
+   * @param memorySeconds estimated wait for memory
    * @param fetchSeconds estimated time of the fetches
    * @param firstTokenSeconds estimated time to the first token
    * @param costSeconds cost by which runners are compared
@@ -315,6 +321,8 @@
       String salt,
       List<Optional<Endpoint>> fetches,
       long unreadTokens,
+      long unreadAhead,
+      double memorySeconds,
       double fetchSeconds,
       double firstTokenSeconds,
       double costSeconds,
@@ -322,13 +330,21 @@
 
     /** Returns what the estimate rests on, for a log line. */
     public String explanation() {
-      return "first token expected in %d ms at runner %s: %d running, slowness %.2f, %d unread"
+      return "first token expected in %d ms at runner %s: %d running, slowness %.2f, tokens unread"
+          .concat(" %d and %d ahead, memory in %d ms, fetched in %d ms")
           .formatted(
-              Math.round(firstTokenSeconds * 1_000),
+              millis(firstTokenSeconds),
               runner.id(),
               running,
               runner.slowness(),
-              unreadTokens);
+              unreadTokens,
+              unreadAhead,
+              millis(memorySeconds),
+              millis(fetchSeconds));
+    }
+
+    private static long millis(double seconds) {
+      return Math.round(seconds * 1_000);
     }
   }
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -52,18 +52,6 @@
     return behind;
   }
 
-  /** Returns whether all runners, leaving ones too, have the newest weights. */
-  public static boolean isCurrent(Collection<Runner> runners, Map<String, Long> newest) {
-    for (Runner runner : runners) {
-      for (String model : runner.info().weightVersions().keySet()) {
-        if (runner.weightVersion(model) < newest.getOrDefault(model, 0L)) {
-          return false;
-        }
-      }
-    }
-    return true;
-  }
-
   /** Returns the orders to give now, and counts them as given. */
   public List<Behind> next(List<Behind> behind, Instant now) {
     settle(behind, now);
--- a/core/src/test/java/org/dragonflyhill/core/relay/KeepPlanTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/KeepPlanTest.java
@@ -89,7 +89,7 @@
     assertEquals(directory.tokens(holder, "m@2", "a"), 0);
     assertEquals(directory.tokens(holder, "m@1#granja", "a"), 0);
     assertEquals(
-        directory.otherSalts(holder, "m@2"::equals), List.of(new PartDirectory.Key("m@1", "a")));
+        directory.under(holder, "m@1"::equals), List.of(new PartDirectory.Key("m@1", "a")));
   }
 
   /** What a silent holder had is not relied upon. */
--- /dev/null
+++ b/core/src/test/java/org/dragonflyhill/core/relay/WeightsInUseTest.java
@@ -0,0 +1,101 @@
+package org.dragonflyhill.core.relay;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** When nothing can read what is kept for replaced weights. */
+public final class WeightsInUseTest {
+
+  private static final Instant START = Instant.ofEpochSecond(1_000);
+  private static final Instant NOW = START.plus(WeightsInUse.UNLISTED_LIFE);
+
+  private WeightsInUse inUse;
+  private Runner first;
+  private Runner second;
+
+  /** Two runners that have had version 1 for long. */
+  @BeforeMethod
+  public void start() {
+    inUse = new WeightsInUse(START);
+    first = runner("a");
+    second = runner("b");
+    inUse.observe(List.of(first, second), START);
+    inUse.observe(List.of(first, second), NOW);
+  }
+
+  private static Runner runner(String id) {
+    Endpoint endpoint = new Endpoint("10.0.0.1", 80);
+    return new Runner(new RunnerInfo(id, "s", endpoint, "z", 8, false, Map.of("m", 1L), 1), START);
+  }
+
+  private Instant afterFetches(Instant from) {
+    return from.plus(WeightsInUse.FETCHES_END);
+  }
+
+  @Test
+  public void versionIsReplacedOnceFetchesOfAllRunnersHaveEnded() {
+    first.runs("m", 2);
+    inUse.observe(List.of(first, second), NOW);
+    assertFalse(inUse.isReplaced("m", 1, afterFetches(NOW)));
+    second.runs("m", 2);
+    inUse.observe(List.of(first, second), NOW);
+    assertFalse(inUse.isReplaced("m", 1, afterFetches(NOW).minusMillis(1)));
+    assertTrue(inUse.isReplaced("m", 1, afterFetches(NOW)));
+    assertFalse(inUse.isReplaced("m", 2, afterFetches(NOW)));
+    assertFalse(inUse.isReplaced("other", 1, afterFetches(NOW)));
+  }
+
+  /**
+   * Weights that are named in quick succession, as on Strunova's quiet-1: the stores stay full of
+   * the first version's parts unless these go while the third version is still rolled out.
+   */
+  @Test
+  public void versionIsReplacedWhileNewerOnesAreRolledOut() {
+    first.runs("m", 2);
+    second.runs("m", 2);
+    inUse.observe(List.of(first, second), NOW);
+    second.runs("m", 3);
+    inUse.observe(List.of(first, second), NOW.plusSeconds(1));
+    assertTrue(inUse.isReplaced("m", 1, afterFetches(NOW)));
+    assertFalse(inUse.isReplaced("m", 2, afterFetches(NOW).plusSeconds(5)));
+  }
+
+  @Test
+  public void runnerThatIsNoLongerListedMayStillRead() {
+    first.runs("m", 2);
+    inUse.observe(List.of(first), NOW);
+    assertFalse(inUse.isReplaced("m", 1, afterFetches(NOW).plusSeconds(10)));
+    Instant gone = NOW.plus(WeightsInUse.UNLISTED_LIFE).plusMillis(1);
+    inUse.observe(List.of(first), gone);
+    assertTrue(inUse.isReplaced("m", 1, afterFetches(gone)));
+  }
+
+  /** A node that has just started does not know of runners that left the list before. */
+  @Test
+  public void nothingIsCertainSoonAfterTheStart() {
+    WeightsInUse fresh = new WeightsInUse(NOW);
+    first.runs("m", 2);
+    fresh.observe(List.of(first), NOW);
+    Duration little = Duration.ofSeconds(10);
+    assertFalse(fresh.isReplaced("m", 1, NOW.plus(little)));
+    assertTrue(fresh.isReplaced("m", 1, NOW.plus(WeightsInUse.UNLISTED_LIFE)));
+  }
+
+  /** A runner that joins with old weights makes them readable again. */
+  @Test
+  public void runnerWithOldWeightsJoins() {
+    first.runs("m", 2);
+    second.runs("m", 2);
+    inUse.observe(List.of(first, second), NOW);
+    Instant later = afterFetches(NOW);
+    inUse.observe(List.of(first, second, runner("c")), later);
+    assertFalse(inUse.isReplaced("m", 1, later.plusSeconds(5)));
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -460,6 +460,10 @@
         saves.add(Optional.empty());
       }
       OptionalLong until = state.runnersMillis();
+      if (until.isEmpty()) {
+        // A fetch without an end may meet parts that are being freed.
+        fetches.replaceAll(any -> Optional.empty());
+      }
       return Optional.of(
           new CallDialect.CacheUse(
               placed.salt(),
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -22,6 +22,7 @@
 import org.dragonflyhill.core.relay.RunnerTable;
 import org.dragonflyhill.core.relay.Service;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
+import org.dragonflyhill.core.relay.WeightsInUse;
 import org.dragonflyhill.daemon.NodeMetrics;
 
 /** What a relaying node knows: the configuration in force, runners, weights and kept parts. */
@@ -132,20 +133,20 @@
     return usableStores().stream().filter(Service.Store::isManaged).toList();
   }
 
-  /** Returns some of the parts that a store keeps for weights that were replaced. */
-  List<PartDirectory.Key> replacedParts(Endpoint store, int most) {
-    return parts.otherSalts(store, this::isCurrent).stream().limit(most).toList();
+  /** Returns some of the parts that a store keeps for weights that no runner has any more. */
+  List<PartDirectory.Key> replacedParts(Endpoint store, WeightsInUse inUse, int most) {
+    return parts.under(store, salt -> isReplaced(salt, inUse)).stream().limit(most).toList();
   }
 
-  private boolean isCurrent(String salt) {
-    for (Map.Entry<String, Long> entry : newestWeights.entrySet()) {
-      String prefix = entry.getKey() + "@";
+  private boolean isReplaced(String salt, WeightsInUse inUse) {
+    for (String model : newestWeights.keySet()) {
+      String prefix = model + "@";
       if (salt.startsWith(prefix)) {
         String version = salt.substring(prefix.length()).split("#", 2)[0];
-        return version.equals(Long.toString(entry.getValue()));
+        return inUse.isReplaced(model, Long.parseLong(version), now());
       }
     }
-    return true;
+    return false;
   }
 
   private List<Service.Store> usableStores() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -14,6 +14,7 @@
 import org.dragonflyhill.core.relay.PartDirectory;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.Service;
+import org.dragonflyhill.core.relay.WeightsInUse;
 import org.dragonflyhill.core.relay.WeightsRollout;
 
 /**
@@ -33,12 +34,6 @@
   /** Difference of steady and wall clock that shows a suspension, in nanoseconds. */
   private static final long SUSPENSION_NANOS = Duration.ofMillis(300).toNanos();
 
-  /**
-   * Usual time after which no request can read what belongs to replaced weights: the longest time
-   * that callers give, 12 s in the users' tables, and the 8.4 s within which all runners change.
-   */
-  public static final Duration FREE_DELAY = Duration.ofMillis(20_400);
-
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
   /** Parts that one call frees. */
@@ -51,14 +46,13 @@
   private final String node;
   private final String holder;
   private final LongSupplier wallMillis;
-  private final Duration freeDelay;
+  private final WeightsInUse inUse;
   private final DutyLease lease;
   private final WeightsRollout rollout = new WeightsRollout();
   private final Map<String, Instant> askedAt = new HashMap<>();
   private boolean isAppending;
   private Instant workSince = Instant.MAX;
   private Duration patience = Duration.ZERO;
-  private Instant currentSince = Instant.MAX;
   private Instant sweptAt = Instant.MIN;
   private long clockGapNanos;
 
@@ -72,7 +66,7 @@
    * @param node name of this node
    * @param incarnation number of this start
    * @param turnGap time that must pass between orders of two living holders
-   * @param freeDelay time for which all runners have new weights before old parts are freed
+   * @param inUse knows when old parts can be freed
    * @param wallMillis the time of day, to notice suspensions by
    */
   public WeightsController(
@@ -83,9 +77,9 @@
       String node,
       long incarnation,
       Duration turnGap,
-      Duration freeDelay,
+      WeightsInUse inUse,
       LongSupplier wallMillis) {
-    this.freeDelay = freeDelay;
+    this.inUse = inUse;
     this.loop = loop;
     this.state = state;
     this.log = log;
@@ -120,12 +114,8 @@
             state.newestWeights(),
             runner -> runner.running() + state.peers().running(runner.id(), now));
     // A leaving runner gets no orders, but what it runs may still read old parts.
-    if (behind.isEmpty()
-        && WeightsRollout.isCurrent(state.runners().all(), state.newestWeights())) {
-      sweep(now);
-    } else {
-      currentSince = Instant.MAX;
-    }
+    inUse.observe(state.runners().all(), now);
+    sweep(now);
     if (behind.isEmpty() || state.isStopping()) {
       workSince = Instant.MAX;
       rollout.clear();
@@ -146,18 +136,14 @@
    * the last holder of the lease does, so that a part is freed once.
    */
   private void sweep(Instant now) {
-    if (currentSince.equals(Instant.MAX)) {
-      currentSince = now;
-    }
     boolean isMine = lease.lastHolder().filter(holder::equals).isPresent();
-    boolean isSettled = Duration.between(currentSince, now).compareTo(freeDelay) >= 0;
     boolean isDue = Duration.between(sweptAt, now).compareTo(SWEEP_INTERVAL) >= 0;
-    if (!isMine || !isSettled || !isDue) {
+    if (!isMine || !isDue) {
       return;
     }
     sweptAt = now;
     for (Service.Store store : state.managedStores()) {
-      List<PartDirectory.Key> old = state.replacedParts(store.endpoint(), MAX_FREED);
+      List<PartDirectory.Key> old = state.replacedParts(store.endpoint(), inUse, MAX_FREED);
       if (!old.isEmpty()) {
         state
             .log()
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -24,6 +24,7 @@
 import org.dragonflyhill.core.relay.RunnerInfo;
 import org.dragonflyhill.core.relay.Service;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
+import org.dragonflyhill.core.relay.WeightsInUse;
 import org.dragonflyhill.daemon.MonotonicClock;
 import org.dragonflyhill.daemon.NodeMetrics;
 import org.testng.annotations.AfterMethod;
@@ -35,7 +36,6 @@
 
   private static final Endpoint STORE = new Endpoint("10.9.0.1", 80);
   private static final Duration TURN_GAP = Duration.ofSeconds(3);
-  private static final Duration FREE_DELAY = Duration.ofSeconds(3);
   private static final int RUNNERS = 5;
 
   private MultiThreadIoEventLoopGroup group;
@@ -103,7 +103,7 @@
                   node,
                   1,
                   TURN_GAP,
-                  FREE_DELAY,
+                  new WeightsInUse(state.now().minus(WeightsInUse.UNLISTED_LIFE)),
                   System::currentTimeMillis)
               .start();
           state.weightsNamed("m", 2);
@@ -120,7 +120,8 @@
     assertEquals(orders.tokens.stream().distinct().toList(), List.of(0L));
     Instant changedAt = Instant.now();
     await().atMost(Duration.ofSeconds(8)).until(() -> !orders.freed.isEmpty());
-    assertTrue(Duration.between(changedAt, Instant.now()).toMillis() > 2_500);
+    long waited = Duration.between(changedAt, Instant.now()).toMillis();
+    assertTrue(waited > WeightsInUse.FETCHES_END.toMillis() - 300, "waited " + waited);
     assertEquals(orders.freed, List.of(new PartDirectory.Key("m@1", "old")));
   }
 
