A holder of the lease that is cut off frees nothing

It saw all runners reach version 2, while version 3 had been named, and freed all parts that were not of version 2: at 28.289 s also parts of version 3 that were being read. Ruled out: the leaving runner that was supposed before. Change: besides, a node frees only while it reaches the log. The new test has parts of a version that the node does not know of, and a holder that is cut off.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -133,12 +133,13 @@
 
   /**
    * Frees parts of replaced weights in managed stores once no runner can read them any more. Only
-   * the last holder of the lease does, so that a part is freed once.
+   * the last holder of the lease does, so that a part is freed once, and only while it reaches the
+   * log: cut off, it does not learn that another took the lease, nor of new runners.
    */
   private void sweep(Instant now) {
     boolean isMine = lease.lastHolder().filter(holder::equals).isPresent();
     boolean isDue = Duration.between(sweptAt, now).compareTo(SWEEP_INTERVAL) >= 0;
-    if (!isMine || !isDue) {
+    if (!isMine || !isDue || !state.isLogInReach()) {
       return;
     }
     sweptAt = now;
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -76,6 +76,8 @@
           }
           state.parts().set(STORE, "m@1", "old", 100);
           state.parts().set(STORE, "m@2", "new", 100);
+          state.parts().set(STORE, "m@3", "newer", 100);
+          state.logInReach(true);
           return null;
         });
     loop.scheduleWithFixedDelay(
@@ -125,6 +127,32 @@
     assertEquals(orders.freed, List.of(new PartDirectory.Key("m@1", "old")));
   }
 
+  /**
+   * A holder that was cut off from the log does not know of newer weights: hunted day of Strunova,
+   * hunt-0978-19, where it freed parts of version 3, since the newest that it knew was 2.
+   */
+  @Test
+  public void freesNothingNewerThanItKnowsAndNothingWhileCutOff() throws Exception {
+    control("me");
+    await().atMost(Duration.ofSeconds(8)).until(() -> orders.changed.size() == RUNNERS);
+    onLoop(
+        () -> {
+          state.logInReach(false);
+          return null;
+        });
+    await()
+        .during(Duration.ofSeconds(4))
+        .atMost(Duration.ofSeconds(6))
+        .until(orders.freed::isEmpty);
+    onLoop(
+        () -> {
+          state.logInReach(true);
+          return null;
+        });
+    await().atMost(Duration.ofSeconds(4)).until(() -> !orders.freed.isEmpty());
+    assertEquals(orders.freed, List.of(new PartDirectory.Key("m@1", "old")));
+  }
+
   /**
    * A leaving runner gets no order, and while it has old weights nothing of them is freed: hunted
    * day of Strunova, hunt-0978-19, where a runner read a part that was freed meanwhile.
