--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -308,18 +308,4 @@
     askedAt.put(runner.id(), now);
     orders.weights(runner.info(), result -> result.peek(weights -> weights.forEach(runner::runs)));
   }
-
-  private void told(Runner runner, Map<String, Long> weights) {
-    weights.forEach(
-        (model, version) -> {
-          if (version > runner.weightVersion(model)) {
-            state
-                .log()
-                .note(
-                    "weights_changed",
-                    event -> event.with("runner", runner.id()).with("version", version));
-          }
-          runner.runs(model, version);
-        });
-  }
 }
