--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerReportCodecTest.java
@@ -0,0 +1,62 @@
+package org.dragonflyhill.daemon.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.dragonflyhill.core.relay.PeerReport;
+import org.testng.annotations.Test;
+
+/** Reports of load between nodes, as bytes. */
+public final class PeerReportCodecTest {
+
+  private static final PeerReport REPORT =
+      new PeerReport(
+          "front-1",
+          17,
+          4,
+          true,
+          false,
+          Map.of("r1", new PeerReport.Load(3, List.of(0L, 12_000L), List.of(500L, 0L, 9L))),
+          Set.of("r2"),
+          Map.of("r1", 2L));
+
+  @Test
+  public void reportComesBackAsItWas() {
+    assertEquals(PeerReportCodec.decode(PeerReportCodec.encode(REPORT)).get(), REPORT);
+  }
+
+  /** A node that runs an older or newer program is passed over, not misread. */
+  @Test
+  public void otherSchemaIsRefused() {
+    byte[] bytes = PeerReportCodec.encode(REPORT);
+    bytes[0]++;
+    assertTrue(PeerReportCodec.decode(bytes).getLeft().startsWith("schema "));
+  }
+
+  /** A datagram that is cut short is refused at each length. */
+  @Test
+  public void cutReportIsRefused() {
+    byte[] bytes = PeerReportCodec.encode(REPORT);
+    for (int length = 0; length < bytes.length; length++) {
+      assertTrue(PeerReportCodec.decode(Arrays.copyOf(bytes, length)).isLeft(), "at " + length);
+    }
+  }
+
+  /** Odd bytes give an error or a report, and never an exception. */
+  @Test
+  public void oddBytesDoNoHarm() {
+    Random random = new Random(1);
+    for (int i = 0; i < 20_000; i++) {
+      byte[] bytes = PeerReportCodec.encode(REPORT);
+      for (int flips = 1 + random.nextInt(4); flips > 0; flips--) {
+        bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+      }
+      PeerReportCodec.decode(bytes);
+    }
+  }
+}
