Say in the log which requests wait for room, and when a runner's weights changed

The lines were promised by docs/OPERATIONS.md (weights_changed) or lacking (request_waits): a late first token could not be traced from its id.

--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -356,18 +356,19 @@
 
     /** Returns what the estimate rests on, for a log line. */
     public String explanation() {
-      return "first token expected in %d ms at runner %s: %d running, slowness %.2f, tokens unread"
-          .concat(" %d and %d ahead, memory in %d ms for %d displaced, fetched in %d ms")
-          .formatted(
-              millis(firstTokenSeconds),
-              runner.id(),
-              running,
-              runner.slowness(),
-              unreadTokens,
-              unreadAhead,
-              millis(memorySeconds),
-              displacedTokens,
-              millis(fetchSeconds));
+      String form =
+          "first token expected in %d ms at runner %s: %d running, slowness %.2f, tokens unread"
+              + " %d and %d ahead, memory in %d ms for %d displaced, fetched in %d ms";
+      return form.formatted(
+          millis(firstTokenSeconds),
+          runner.id(),
+          running,
+          runner.slowness(),
+          unreadTokens,
+          unreadAhead,
+          millis(memorySeconds),
+          displacedTokens,
+          millis(fetchSeconds));
     }
 
     private static long millis(double seconds) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -193,7 +193,7 @@
         return;
       }
       if (!Admission.hasRoom(chosen.placed) && !isWaitOver(now)) {
-        waitForRoom(now);
+        waitForRoom(chosen.placed, now);
         return;
       }
     }
@@ -208,8 +208,19 @@
             error -> unreached(chosen, error));
   }
 
-  private void waitForRoom(Instant now) {
+  /** Keeps the request at this node; {@link WaitingCalls} tries again until the wait is over. */
+  private void waitForRoom(RunnerChoice.Placed placed, Instant now) {
     if (waitUntil.equals(Instant.MAX)) {
+      state
+          .log()
+          .note(
+              "request_waits",
+              event ->
+                  event
+                      .with("request", id())
+                      .with("route", route.name())
+                      .with("rank", rank())
+                      .with("detail", placed.explanation()));
       waitUntil = now.plus(Admission.longestWait(route.objective()));
       state.metrics().count("relay.waited");
       server.waiting().add(this);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -306,6 +306,20 @@
       return;
     }
     askedAt.put(runner.id(), now);
-    orders.weights(runner.info(), result -> result.peek(weights -> weights.forEach(runner::runs)));
+    orders.weights(runner.info(), result -> result.peek(weights -> told(runner, weights)));
+  }
+
+  private void told(Runner runner, Map<String, Long> weights) {
+    weights.forEach(
+        (model, version) -> {
+          if (version > runner.weightVersion(model)) {
+            state
+                .log()
+                .note(
+                    "weights_changed",
+                    event -> event.with("runner", runner.id()).with("version", version));
+          }
+          runner.runs(model, version);
+        });
   }
 }
