--- a/proofs/src/test/java/org/dragonflyhill/proofs/ConfigurationProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/ConfigurationProofTest.java
@@ -103,7 +103,8 @@
   }
 
   private ChangeOutcome submit(String changeId, String name, String region) {
-    ConfigurationState state = operator().read().block().get();
+    ConfigurationState state =
+        operator().read().block().getOrElseThrow(error -> new AssertionError(error.toString()));
     return operator().submit(state, zone(state, changeId, name, region)).block();
   }
 
