--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerLoads.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerLoads.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToLongFunction;
 
 /**
  * What other nodes say of themselves and of their load on runners.
@@ -50,38 +51,28 @@
 
   /** Returns the requests of all other nodes at a runner. */
   public int running(String runner, Instant now) {
-    int running = 0;
-    for (Seen seen : peers.values()) {
-      PeerReport.Load load = seen.report().loads().get(runner);
-      if (load != null && isWithin(seen.at(), LOAD_VALID, now)) {
-        running += load.running();
-      }
-    }
-    return running;
+    return Math.toIntExact(sum(runner, now, PeerReport.Load::running));
   }
 
   /** Returns the tokens of all other nodes that a runner reads before a new request's. */
   public long unreadBefore(String runner, int urgency, Instant now) {
-    long unread = 0;
-    for (Seen seen : peers.values()) {
-      PeerReport.Load load = seen.report().loads().get(runner);
-      if (load != null && isWithin(seen.at(), LOAD_VALID, now)) {
-        unread += load.unreadBefore(urgency);
-      }
-    }
-    return unread;
+    return sum(runner, now, load -> load.unreadBefore(urgency));
   }
 
   /** Returns the memory of all other nodes at a runner that a new request cannot displace. */
   public long memoryBefore(String runner, int urgency, Instant now) {
-    long memory = 0;
+    return sum(runner, now, load -> load.memoryBefore(urgency));
+  }
+
+  private long sum(String runner, Instant now, ToLongFunction<PeerReport.Load> part) {
+    long sum = 0;
     for (Seen seen : peers.values()) {
       PeerReport.Load load = seen.report().loads().get(runner);
       if (load != null && isWithin(seen.at(), LOAD_VALID, now)) {
-        memory += load.memoryBefore(urgency);
+        sum += part.applyAsLong(load);
       }
     }
-    return memory;
+    return sum;
   }
 
   /** Returns whether any peer says that a runner is changing its weights. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/RelayConfiguration.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RelayConfiguration.java
@@ -25,6 +25,7 @@
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, Service> services = new HashMap<>();
   private final Map<String, Organisation> organisationsByKey = new HashMap<>();
+  private final List<Service.Store> stores;
   private final boolean hasOrganisations;
   private final CallerLimits limits;
 
@@ -52,6 +53,12 @@
     Comparator<Route> byLength = Comparator.comparingInt(route -> route.pathPrefix().length());
     routesByHost.values().forEach(list -> list.sort(byLength.reversed()));
     services.forEach(service -> this.services.put(service.name(), service));
+    stores =
+        this.services.values().stream()
+            .filter(Service.Store.class::isInstance)
+            .map(Service.Store.class::cast)
+            .sorted(Comparator.comparing(Service.Store::name))
+            .toList();
     for (Organisation organisation : organisations) {
       organisation.keys().forEach(key -> organisationsByKey.put(key, organisation));
     }
@@ -101,11 +108,7 @@
 
   /** Returns all stores of kept cache, in the order of their names. */
   public List<Service.Store> stores() {
-    return services.values().stream()
-        .filter(Service.Store.class::isInstance)
-        .map(Service.Store.class::cast)
-        .sorted(Comparator.comparing(Service.Store::name))
-        .toList();
+    return stores;
   }
 
   /**
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerChoice.java
@@ -135,13 +135,14 @@
     }
     long unread = Math.max(0, request.prompt().promptTokens() - present);
     long reread = Math.max(0, tokens(shared) - present);
+    final int running = running(runner, now);
     final long unreadAhead = unreadBefore(runner, request.urgency(), now);
     final long unreadBehind = unreadBefore(runner, Runner.RANKS, now) - unreadAhead;
     final double memorySeconds = memorySeconds(request, runner, now);
     final long displaced = displacedTokens(request, runner, now);
     double waitSeconds =
         (unreadAhead + unreadBehind * LESS_URGENT_SHARE) / READ_TOKENS_PER_SECOND
-            + running(runner, now) * SECONDS_PER_RUNNING
+            + running * SECONDS_PER_RUNNING
             + memorySeconds;
     double firstToken =
         (waitSeconds + fetchSeconds + unread / READ_TOKENS_PER_SECOND) * runner.slowness();
@@ -168,7 +169,7 @@
         fetchSeconds,
         firstToken,
         cost,
-        running(runner, now));
+        running);
   }
 
   private double fetchSeconds(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayCall.java
@@ -25,6 +25,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.dragonflyhill.core.relay.Admission;
+import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.EventStream;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.Prompt;
@@ -489,12 +490,11 @@
       }
       // What was learnt of the runner since it was chosen would not fit the salt.
       final long version = placed.weightVersion();
-      List<Optional<org.dragonflyhill.core.relay.Endpoint>> fetches =
-          new ArrayList<>(placed.fetches());
+      List<Optional<Endpoint>> fetches = new ArrayList<>(placed.fetches());
       while (fetches.size() < prompt.get().parts().size()) {
         fetches.add(Optional.empty());
       }
-      List<Optional<org.dragonflyhill.core.relay.Endpoint>> saves =
+      List<Optional<Endpoint>> saves =
           new ArrayList<>(state.saves(placed.salt(), prompt.get().sharedParts()));
       while (!saves.isEmpty() && saves.size() < prompt.get().parts().size()) {
         saves.add(Optional.empty());
