Retry a silent runner only while its answer can still be replaced

Cause: checkTimeouts tried a repeatable request again when its runner paused for 1.2 s, also after part of a plain answer had been sent to the caller. The second body followed the first.

Change: once an answer has started, only a resumable stream may go on at another runner. Other answers wait for their runner until the deadline.

Seen: RelayTest.pausingAnswerIsNotMixedWithAnother failed before with the body "first half, first half, " and passes now; the other tests of RelayTest pass.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -55,7 +55,7 @@
   /** Number of failed connections after which the request is refused. */
   private static final int MAX_UNREACHABLE_RUNNERS = 3;
 
-  /** Pause within a response after which a repeatable request is retried on another runner. */
+  /** Pause within a resumable stream after which it is resumed at another runner. */
   private static final Duration STREAM_IDLE_TIMEOUT = Duration.ofMillis(1_200);
 
   /**
@@ -453,7 +453,7 @@
         .ifPresent(c -> c.pauseReading(!isWritable));
   }
 
-  /** Enforces the deadline, and retries a repeatable request whose runner stopped responding. */
+  /** Enforces the deadline, and retries on another runner if the present one stopped responding. */
   void checkTimeouts(Instant now) {
     if (isFinished) {
       return;
@@ -462,7 +462,9 @@
       onTimeout();
       return;
     }
-    if (currentAttempt.isPresent() && route.isRepeatable() && currentAttempt.get().isSilent(now)) {
+    // A response that has started can be continued by another runner only if it is resumable.
+    boolean isReplaceable = isResponseStarted ? isResumable() : route.isRepeatable();
+    if (currentAttempt.isPresent() && isReplaceable && currentAttempt.get().isSilent(now)) {
       Attempt silent = currentAttempt.get();
       if (attempts < route.maxAttempts()) {
         logAttempt("runner_silent", silent, "no data from the runner");
@@ -479,6 +481,10 @@
     }
   }
 
+  private boolean isResumable() {
+    return route.kind() == Route.Kind.STREAM && route.isResumable();
+  }
+
   private void onTimeout() {
     boolean isSent = currentAttempt.filter(current -> current.connection.isPresent()).isPresent();
     currentAttempt.ifPresent(current -> logAttempt("timed_out", current, "deadline exceeded"));
@@ -702,10 +708,6 @@
       caller.writeHeaders(forwarded);
     }
 
-    private boolean isResumable() {
-      return route.kind() == Route.Kind.STREAM && route.isResumable();
-    }
-
     @Override
     public void onContent(ByteBuf bytes) {
       if (isEnded || !isResponseStarted) {
