Eject a runner that fails again soon, and charge slow fetches to their sources only

Causes: endEjection kept the end of the former ejection, and eject does nothing before that time, so a runner that was reached once and failed again within 0.5 to 4 s kept getting requests. And a slow first token was charged to every fetch source of the request, also to those of parts that the runner holds and that are named only as a reserve.

Change: a successful connection ends the ejection time too; a selection lists the sources of the missing parts, and only these are charged.

Seen: RunnerSelectorTest.ejectsRunnersThatFailAgainSoon and chargesOnlySourcesOfMissingParts failed before (not ejected; 164 ms instead of 17 ms for the store that was not asked) and pass now.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -221,6 +221,7 @@
   /** Ends the ejection, after a connection to the runner succeeded. */
   public void endEjection() {
     ejections = 0;
+    ejectedUntil = Instant.MIN;
   }
 
   /** Records a successful answer. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
@@ -145,6 +145,7 @@
     int leading = directory.leadingParts(endpoint, salt, shared, now);
     long present = sumTokens(shared.subList(0, leading));
     List<Optional<Endpoint>> fetchSources = new ArrayList<>();
+    List<Endpoint> sourcesOfMissing = new ArrayList<>();
     double fetchSeconds = 0;
     boolean isPrefixCovered = true;
     for (int i = 0; i < shared.size(); i++) {
@@ -157,6 +158,7 @@
       }
       isPrefixCovered &= source.isPresent();
       if (isPrefixCovered) {
+        sourcesOfMissing.add(source.get().endpoint());
         fetchSeconds += fetchSeconds(request, source.get(), runner, part, now);
         present += part.tokens();
       }
@@ -193,6 +195,7 @@
         version,
         salt,
         fetchSources,
+        sourcesOfMissing,
         prefillTokens,
         prefillTokensAhead,
         memorySeconds,
@@ -247,8 +250,7 @@
   public void recordTimeToFirstToken(Selection selection, double seconds, Instant now) {
     if (selection.fetchSeconds() > selection.firstTokenSeconds() * SLOW_FETCH_SHARE) {
       double otherSeconds = selection.firstTokenSeconds() - selection.fetchSeconds();
-      selection.fetchSources().stream()
-          .flatMap(Optional::stream)
+      selection.sourcesOfMissing().stream()
           .distinct()
           .forEach(
               source ->
@@ -365,7 +367,8 @@
    * @param runner the runner
    * @param weightVersion weight version observed at the runner, 0 if unknown
    * @param salt salt of the request for that weight version
-   * @param fetchSources source from which the runner should fetch each shared part that it lacks
+   * @param fetchSources source from which the runner should fetch each shared part if it lacks it
+   * @param sourcesOfMissing sources of the parts that the runner is expected to lack
    * @param prefillTokens prompt tokens that the runner has to prefill
    * @param prefillTokensAhead tokens of other prompts that the runner prefills first
    * @param memorySeconds estimated wait for memory
@@ -380,6 +383,7 @@
       long weightVersion,
       String salt,
       List<Optional<Endpoint>> fetchSources,
+      List<Endpoint> sourcesOfMissing,
       long prefillTokens,
       long prefillTokensAhead,
       double memorySeconds,
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
@@ -181,6 +181,43 @@
     assertEquals(selection.runner().id(), "r1");
   }
 
+  /** A runner that fails again right after a connection to it succeeded is ejected again. */
+  @Test
+  public void ejectsRunnersThatFailAgainSoon() {
+    Runner flapping = runner("r1", 1);
+    flapping.eject(NOW);
+    flapping.endEjection();
+    Instant soon = NOW.plusMillis(100);
+    flapping.eject(soon);
+    assertTrue(flapping.isEjected());
+    assertFalse(flapping.isProbeDue(soon.plus(Runner.BASE_EJECTION_TIME).minusMillis(1)));
+    assertTrue(flapping.isProbeDue(soon.plus(Runner.BASE_EJECTION_TIME)));
+  }
+
+  /** A slow first token is charged to the sources of missing parts only. */
+  @Test
+  public void chargesOnlySourcesOfMissingParts() {
+    Runner runner = runner("r1", 1);
+    Endpoint unused = new Endpoint("10.9.0.1", 80);
+    Endpoint slow = new Endpoint("10.9.0.2", 80);
+    Prompt.Part held = HISTORY.sharedParts().get(0);
+    Prompt.Part missing = HISTORY.sharedParts().get(1);
+    directory.setTokens(runner.info().endpoint(), SALT, held.id(), held.tokens());
+    directory.setTokens(unused, SALT, held.id(), held.tokens());
+    directory.setTokens(slow, SALT, missing.id(), missing.tokens());
+    var sources =
+        List.of(
+            new RunnerSelector.Source(unused, "z1", LINK, true),
+            new RunnerSelector.Source(slow, "z1", LINK, true));
+    var before =
+        selector.selectForPrompt(request("k"), List.of(runner), sources, NOW).orElseThrow();
+    selector.recordTimeToFirstToken(before, 1, NOW);
+    directory.setTokens(unused, SALT, missing.id(), missing.tokens());
+    var after = selector.selectForPrompt(request("k"), List.of(runner), sources, NOW).orElseThrow();
+    assertEquals(after.fetchSources().get(1), Optional.of(unused));
+    assertEquals(after.fetchSeconds(), before.fetchSeconds(), 1e-9);
+  }
+
   /** An unreachable runner is ejected until a connection succeeds; probes back off. */
   @Test
   public void ejectsUnreachableRunnersUntilConnected() {
