Do not count runners without weights as serving when loads are planned

Cause: OrderPlanner added the slots of runners without weights to those that serve, so with one such runner another was taken out of service below the capacity that is needed.

Change: only reachable runners that have weights and are not loading count.

Seen: OrderPlannerTest.runnerWithoutWeightsServesNoSlots failed before (2 orders instead of 1) and passes now.

--- a/core/src/main/java/org/dragonflyhill/core/OrderPlanner.java
+++ b/core/src/main/java/org/dragonflyhill/core/OrderPlanner.java
@@ -32,10 +32,7 @@
   public static List<Order> plan(List<RunnerState> runners, int neededSlots) {
     long loading = runners.stream().filter(RunnerState::isLoading).count();
     int servingSlots =
-        runners.stream()
-            .filter(runner -> runner.isReachable() && !runner.isLoading())
-            .mapToInt(RunnerState::slots)
-            .sum();
+        runners.stream().filter(RunnerState::isServing).mapToInt(RunnerState::slots).sum();
     List<Order> orders = new ArrayList<>();
     for (RunnerState runner : runnersToUpdate(runners)) {
       if (loading + orders.size() >= MAX_CONCURRENT_LOADS) {
@@ -95,6 +92,10 @@
     boolean hasWeights() {
       return !reported.equals(Weights.NONE);
     }
+
+    boolean isServing() {
+      return isReachable && !isLoading && hasWeights();
+    }
   }
 
   /**
--- a/core/src/test/java/org/dragonflyhill/core/OrderPlannerTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/OrderPlannerTest.java
@@ -45,6 +45,14 @@
     assertEquals(OrderPlanner.plan(runners, 100), List.of(new Order("a", NEW)));
   }
 
+  /** A runner without weights serves nobody, so its slots do not count as serving. */
+  @Test
+  public void runnerWithoutWeightsServesNoSlots() {
+    var runners = List.of(runner("a", OLD, false, 0), runner("b", Weights.NONE, false, 0));
+    assertEquals(OrderPlanner.plan(runners, 8), List.of(new Order("b", NEW)));
+    assertEquals(OrderPlanner.plan(runners, 0).size(), 2);
+  }
+
   @Test
   public void skipsRunnerThatHasWantedWeights() {
     assertEquals(OrderPlanner.plan(List.of(runner("a", NEW, false, 0)), 0), List.of());
