Let urgent requests pass ordinary ones in the estimated wait for a slot

Cause: LoadEstimate counted all requests sent since the last report as ahead of an urgent one, although ordinary ones wait behind it.

Change: for an urgent request, ordinary ones count up to the unreserved slots that were free at the report, since those they did take.

Seen: LoadEstimateTest.urgentWorkDoesNotWaitForOrdinaryRequestsSentSinceReport failed before (6 s instead of none) and passes now; ordinaryRequestsSentSinceReportTakeFreeSlots passes before and after.

--- a/core/src/main/java/org/dragonflyhill/core/LoadEstimate.java
+++ b/core/src/main/java/org/dragonflyhill/core/LoadEstimate.java
@@ -90,14 +90,26 @@
     double slotSeconds = slotTime.toNanos() / 1e9;
     double ageSeconds = Duration.between(report.reportedAt(), now).toNanos() / 1e9;
     double freedSlots = ageSeconds * capacity.slots() / slotSeconds;
-    int queued = isUrgent ? 0 : report.queued();
-    double takenSlots =
-        report.running() + queued + (double) sentRequests.size() * capacity.sendingNodes();
-    int usableSlots = isUrgent ? capacity.slots() : capacity.slots() - capacity.reservedSlots();
+    int ordinarySlots = capacity.slots() - capacity.reservedSlots();
+    double urgentSent = sentSinceReport(true);
+    double ordinarySent = sentSinceReport(false);
+    double takenSlots = report.running() + urgentSent;
+    if (isUrgent) {
+      // Ordinary requests that found no free slot wait behind urgent ones.
+      takenSlots += Math.min(ordinarySent, Math.max(0, ordinarySlots - report.running()));
+    } else {
+      takenSlots += report.queued() + ordinarySent;
+    }
+    int usableSlots = isUrgent ? capacity.slots() : ordinarySlots;
     double slotsToWaitFor = Math.max(0, takenSlots - freedSlots + 1 - usableSlots);
     return slotsToWaitFor * slotSeconds / capacity.slots();
   }
 
+  private double sentSinceReport(boolean isUrgent) {
+    long sent = sentRequests.stream().filter(request -> request.isUrgent() == isUrgent).count();
+    return (double) sent * capacity.sendingNodes();
+  }
+
   /**
    * Capacity of a runner and the number of nodes that share it.
    *
--- a/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/LoadEstimateTest.java
@@ -54,6 +54,26 @@
     assertEquals(load.queueWait(true, SLOT_TIME, START), Duration.ZERO);
   }
 
+  /** Ordinary requests that found no free slot wait behind an urgent one. */
+  @Test
+  public void urgentWorkDoesNotWaitForOrdinaryRequestsSentSinceReport() {
+    LoadEstimate load = estimateFrom(new LoadEstimate.Capacity(4, 1, 1_000, 1), 3, 0, 0);
+    for (int i = 0; i < 6; i++) {
+      load.recordSent(0, false, START);
+    }
+    assertEquals(load.queueWait(true, SLOT_TIME, START), Duration.ZERO);
+    load.recordSent(0, true, START);
+    assertEquals(load.queueWait(true, SLOT_TIME, START), Duration.ofSeconds(1));
+  }
+
+  /** Ordinary requests take the free slots that are not reserved, also before an urgent one. */
+  @Test
+  public void ordinaryRequestsSentSinceReportTakeFreeSlots() {
+    LoadEstimate load = estimateFrom(new LoadEstimate.Capacity(2, 0, 1_000, 1), 1, 0, 0);
+    load.recordSent(0, false, START);
+    assertEquals(load.queueWait(true, SLOT_TIME, START), Duration.ofSeconds(2));
+  }
+
   @Test
   public void urgentWorkDoesNotWaitForOrdinaryPrefill() {
     LoadEstimate load = estimateFrom(0, 0, 5_000);
