Keep a piece queued for export while no store can be used

Cause: a store counts as usable only after the node's first successful poll of it. A piece that was offered before, in the first moments of a node on a busy machine or while all stores were down, was dropped from the queue at once, and it was offered again only when its prompt returned.

Change: such a piece goes to the end of the queue, like one whose links are busy, until the time limit of the queue is over.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/ExportController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ExportController.java
@@ -156,8 +156,8 @@
   }
 
   /**
-   * Takes the first job of the queue. It is dropped if no store is usable or if it waited too long,
-   * and moved to the end of the queue if its links are busy.
+   * Takes the first job of the queue. It is dropped if it waited too long, and moved to the end of
+   * the queue if no store is usable yet or if its links are busy.
    */
   private synchronized Optional<Export> nextExport(Instant now) {
     Job job = queue.poll();
@@ -165,13 +165,13 @@
       return Optional.empty();
     }
     Optional<Store> store = storeFor(job.piece.id(), now);
-    if (store.isEmpty() || job.offeredAt.plus(MAX_QUEUE_TIME).isBefore(now)) {
+    if (job.offeredAt.plus(MAX_QUEUE_TIME).isBefore(now)) {
       metrics.count(store.isEmpty() ? "export.no_store" : "export.waited_too_long");
       pendingPieceIds.remove(job.piece.id());
       return Optional.empty();
     }
     long bytes = job.piece.tokens() * job.cached.model().cacheBytesPerToken();
-    if (!links.tryReserveExport(job.cached.runner(), store.get(), bytes, now)) {
+    if (store.isEmpty() || !links.tryReserveExport(job.cached.runner(), store.get(), bytes, now)) {
       queue.add(job);
       return Optional.empty();
     }
--- a/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/CacheProofTest.java
@@ -94,6 +94,18 @@
     report("engine without a check of imports", 1);
   }
 
+  /** Pieces of a prompt that was served while no store could be used are stored once one can. */
+  @Test
+  public void storesQueuedPiecesOnceStoreIsUsable() {
+    storeFaults("{\"refuse\":-1}");
+    ProcessHelper late = startNode("node-late");
+    complete(late, prompt());
+    Awaitility.await().atMost(TIMEOUT).until(() -> deployment.metric(late, "export.queued") > 0);
+    storeFaults("{}");
+    awaitStored(PIECES);
+    report("prompt served before a store is usable", 1);
+  }
+
   @Test
   public void detectsDamagedBytesUsedByUnverifiedImport() {
     final String prompt = storedPrompt();
