Roll out overlapping weight versions within their limits

Change: changes are complete at the ordered version; the earliest replaced weights go first; a lost order is repeated after 1 s and names the runner's revision; the holder's incarnation counts; after half of the limit runners change at once; a request is not sent where it would begin too late by its estimated wait, and is cancelled if it has not begun 0.3 s before the limit. The number of concurrent changes grows with the runners (0.28 of them, three at least); sites with 8 or 10 runners keep three.

Not covered yet: a node that restarts between two announcements takes the time of its start.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -100,10 +100,16 @@
   }
 
   /**
-   * Returns whether a peer has reported recently, can reach the log service and is not stopping.
+   * Returns whether a process has reported recently, can reach the log service and is not stopping.
+   * A restarted node is another process, which knows nothing of the orders of the one before.
+   *
+   * @param node name of the node
+   * @param incarnation number of the process start
+   * @param now present time
    */
-  public boolean isActive(String node, Instant now) {
+  public boolean isActive(String node, long incarnation, Instant now) {
     return Optional.ofNullable(peers.get(node))
+        .filter(latest -> latest.report().incarnation() == incarnation)
         .filter(latest -> isWithin(latest.receivedAt(), PEER_TIMEOUT, now))
         .filter(latest -> latest.report().isLogReachable() && !latest.report().isStopping())
         .isPresent();
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
@@ -80,6 +80,8 @@
   private final PartDirectory directory;
   private final PeerTable peers;
   private final FetchSlowdowns fetchSlowdowns = new FetchSlowdowns();
+  private final AnnouncedWeights announcedWeights;
+  private final WeightsDeadline weightsDeadline;
   private final String ownZone;
 
   /**
@@ -87,11 +89,20 @@
    *
    * @param directory cached parts of runners and stores
    * @param peers load that other nodes report
+   * @param announcedWeights announced weight versions
+   * @param weightsDeadline when requests must no longer begin on replaced weights
    * @param ownZone availability zone of this node
    */
-  public RunnerSelector(PartDirectory directory, PeerTable peers, String ownZone) {
+  public RunnerSelector(
+      PartDirectory directory,
+      PeerTable peers,
+      AnnouncedWeights announcedWeights,
+      WeightsDeadline weightsDeadline,
+      String ownZone) {
     this.directory = directory;
     this.peers = peers;
+    this.announcedWeights = announcedWeights;
+    this.weightsDeadline = weightsDeadline;
     this.ownZone = ownZone;
   }
 
@@ -117,7 +128,7 @@
 
   /**
    * Returns the runner with the lowest cost for a prompt and the sources from which it should fetch
-   * parts.
+   * parts. Runners on which the request would begin too late on replaced weights are left out.
    *
    * @param request the request
    * @param runners candidate runners
@@ -129,6 +140,11 @@
     Selection best = null;
     for (Runner runner : runners) {
       Selection selection = evaluate(request, runner, sources, now);
+      Optional<Instant> replacedAt =
+          announcedWeights.replacedAt(request.prompt().model(), selection.weightVersion());
+      if (!weightsDeadline.maySend(replacedAt, selection.firstTokenSeconds(), now)) {
+        continue;
+      }
       if (best == null || selection.costSeconds() < best.costSeconds()) {
         best = selection;
       }
@@ -187,7 +203,7 @@
             + penaltySeconds(runner, now)
             + crossZoneSeconds(runner)
             + tieBreakSeconds(request.affinityKey(), runner);
-    if (version < request.newestWeightVersion()) {
+    if (version < announcedWeights.newest(request.prompt().model())) {
       cost += OLD_WEIGHTS_PENALTY_SECONDS;
     }
     return new Selection(
@@ -339,7 +355,6 @@
    * @param bytesPerToken bytes of KV cache per token
    * @param runnerMemoryTokens KV memory per runner, in tokens
    * @param rank scheduling rank of the request, 0 for the most urgent
-   * @param newestWeightVersion newest weight version of the model that the operator named
    */
   public record Request(
       Prompt prompt,
@@ -347,8 +362,7 @@
       String affinityKey,
       double bytesPerToken,
       long runnerMemoryTokens,
-      int rank,
-      long newestWeightVersion) {}
+      int rank) {}
 
   /**
    * A runner or store from which parts may be fetched.
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsDeadline.java
@@ -0,0 +1,56 @@
+package org.dragonflyhill.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * The time by which requests must no longer begin on replaced weights. Immutable.
+ *
+ * @param limit time after the announcement of newer weights, from the platform specification
+ */
+public record WeightsDeadline(Duration limit) {
+
+  /**
+   * Fraction of the limit after which the remaining runners change at once instead of after their
+   * running requests.
+   */
+  private static final double IMMEDIATE_CHANGE_SHARE = 0.5;
+
+  /**
+   * Margin between the latest time at which a request may be sent to replaced weights and the
+   * limit. It covers the delay of the announcement at this node.
+   */
+  public static final Duration SEND_MARGIN = Duration.ofMillis(800);
+
+  /** Factor on the estimated time to first token, since queues grow while runners change. */
+  private static final double ESTIMATE_FACTOR = 3;
+
+  /** Margin before the limit at which a request that has not begun is cancelled. */
+  public static final Duration CANCEL_MARGIN = Duration.ofMillis(300);
+
+  /**
+   * Returns whether a request may still be sent to a runner.
+   *
+   * @param replacedAt when newer weights than the runner's were announced, empty if its are newest
+   * @param firstTokenSeconds estimated time until the request begins, in seconds
+   * @param now present time
+   */
+  public boolean maySend(Optional<Instant> replacedAt, double firstTokenSeconds, Instant now) {
+    Duration wait = Duration.ofNanos((long) (firstTokenSeconds * ESTIMATE_FACTOR * 1e9));
+    return replacedAt
+        .map(at -> now.plus(wait).isBefore(at.plus(limit).minus(SEND_MARGIN)))
+        .orElse(true);
+  }
+
+  /** Returns whether a request that has not begun on replaced weights must be cancelled now. */
+  public boolean mustCancel(Optional<Instant> replacedAt, Instant now) {
+    return replacedAt.filter(at -> !now.isBefore(at.plus(limit).minus(CANCEL_MARGIN))).isPresent();
+  }
+
+  /** Returns whether a runner should change its weights without waiting for running requests. */
+  public boolean isChangeUrgent(Instant replacedAt, Instant now) {
+    Duration wait = Duration.ofNanos((long) (limit.toNanos() * IMMEDIATE_CHANGE_SHARE));
+    return !now.isBefore(replacedAt.plus(wait));
+  }
+}
--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -13,72 +13,105 @@
 import java.util.function.ToIntFunction;
 
 /**
- * Decides which runners change their weights next: a few at a time, the least loaded first.
+ * Decides which runners change their weights next: a few at a time, first those whose weights were
+ * replaced first, and among these the least loaded.
  *
  * <p>Not thread-safe; no argument may be null.
  */
 public final class WeightsRollout {
 
   /**
-   * Maximum number of concurrent changes. By the platform specification only two runners load
-   * weights at full speed, but most of a change is spent waiting for running requests.
+   * Minimum limit on concurrent changes. Of a small service only two runners load weights at full
+   * speed, but most of a change is spent waiting for running requests.
    */
-  public static final int MAX_CONCURRENT_CHANGES = 3;
+  public static final int MIN_CONCURRENT_CHANGES = 3;
 
-  /** Time after which an order without visible effect is given again. */
+  /**
+   * Fraction of the runners that change concurrently. With more, each load takes longer, by the
+   * platform specification.
+   */
+  private static final double CONCURRENT_SHARE = 0.28;
+
+  /** Time after which an accepted order without visible effect is given again. */
   public static final Duration ORDER_TIMEOUT = Duration.ofMillis(3_000);
 
+  /** Time after which an order whose answer was lost is given again. */
+  public static final Duration UNANSWERED_ORDER_TIMEOUT = Duration.ofMillis(1_000);
+
   private final Map<String, Change> changes = new HashMap<>();
 
   /**
-   * Returns the available runners whose weights are older than the newest ones, least loaded first.
+   * Returns the available runners whose weights have been replaced, in the order in which they
+   * should change.
    *
    * @param runners all runners
-   * @param newest newest weight version of each model
+   * @param announced announced weight versions
    * @param running returns the number of requests of all nodes that are running at a runner
    */
   public static List<OutdatedRunner> outdatedRunners(
-      Collection<Runner> runners, Map<String, Long> newest, ToIntFunction<Runner> running) {
+      Collection<Runner> runners, AnnouncedWeights announced, ToIntFunction<Runner> running) {
     List<OutdatedRunner> outdated = new ArrayList<>();
     for (Runner runner : runners) {
+      if (!runner.isAvailable()) {
+        continue;
+      }
       for (String model : runner.info().weightVersions().keySet()) {
-        long newestVersion = newest.getOrDefault(model, 0L);
-        if (runner.isAvailable() && runner.weightVersion(model) < newestVersion) {
-          outdated.add(new OutdatedRunner(runner, model, newestVersion));
-        }
+        announced
+            .replacedAt(model, runner.weightVersion(model))
+            .ifPresent(
+                at -> outdated.add(new OutdatedRunner(runner, model, announced.newest(model), at)));
       }
     }
-    outdated.sort(Comparator.comparingInt(entry -> running.applyAsInt(entry.runner())));
+    outdated.sort(
+        Comparator.comparing(OutdatedRunner::replacedAt)
+            .thenComparingInt(entry -> running.applyAsInt(entry.runner())));
     return outdated;
   }
 
-  /** Returns the orders to give now and records them as given. */
-  public List<OutdatedRunner> nextOrders(List<OutdatedRunner> outdated, Instant now) {
+  /**
+   * Returns the orders to give now and records them as given.
+   *
+   * @param outdated the runners that are behind, in the order in which they should change
+   * @param runners number of runners that share the weights
+   * @param now present time
+   */
+  public List<OutdatedRunner> nextOrders(List<OutdatedRunner> outdated, int runners, Instant now) {
     removeFinished(outdated, now);
+    int limit = Math.max(MIN_CONCURRENT_CHANGES, (int) (runners * CONCURRENT_SHARE));
     List<OutdatedRunner> orders = new ArrayList<>();
     for (OutdatedRunner entry : outdated) {
-      if (changes.size() >= MAX_CONCURRENT_CHANGES) {
+      if (changes.size() >= limit) {
         break;
       }
       if (!changes.containsKey(entry.runner().id())) {
-        changes.put(entry.runner().id(), new Change(entry.version(), now));
+        changes.put(entry.runner().id(), new Change(entry, now, ORDER_TIMEOUT));
         orders.add(entry);
       }
     }
     return orders;
   }
 
-  /** Removes changes that are complete and those that have timed out. */
+  /**
+   * Removes changes that have timed out and those whose runner has reached the ordered version,
+   * also if a newer one has been announced since.
+   */
   private void removeFinished(List<OutdatedRunner> outdated, Instant now) {
     Set<String> outdatedIds = new HashSet<>();
     outdated.forEach(entry -> outdatedIds.add(entry.runner().id()));
     changes
-        .entrySet()
+        .values()
         .removeIf(
-            entry ->
-                !outdatedIds.contains(entry.getKey())
-                    || Duration.between(entry.getValue().orderedAt(), now).compareTo(ORDER_TIMEOUT)
-                        > 0);
+            change ->
+                !outdatedIds.contains(change.order().runner().id())
+                    || change.isComplete()
+                    || !now.isBefore(change.orderedAt().plus(change.timeout())));
+  }
+
+  /** Records that a runner's answer to its order was lost, so that the order is repeated soon. */
+  public void orderUnanswered(String runner) {
+    changes.computeIfPresent(
+        runner,
+        (id, change) -> new Change(change.order(), change.orderedAt(), UNANSWERED_ORDER_TIMEOUT));
   }
 
   /** Removes the order of a runner that has rejected it. */
@@ -97,13 +130,18 @@
   }
 
   /**
-   * A runner whose weights are older than the newest ones.
+   * A runner whose weights have been replaced.
    *
    * @param runner the runner
    * @param model model of the weights
    * @param version version that the runner should have
+   * @param replacedAt time of the announcement of the first version newer than the runner's
    */
-  public record OutdatedRunner(Runner runner, String model, long version) {}
+  public record OutdatedRunner(Runner runner, String model, long version, Instant replacedAt) {}
 
-  private record Change(long version, Instant orderedAt) {}
+  private record Change(OutdatedRunner order, Instant orderedAt, Duration timeout) {
+    boolean isComplete() {
+      return order.runner().weightVersion(order.model()) >= order.version();
+    }
+  }
 }
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.testng.annotations.BeforeMethod;
@@ -15,13 +17,15 @@
 public final class RolloutTest {
 
   private static final Instant NOW = Instant.ofEpochSecond(1_000);
-  private static final Map<String, Long> NEWEST = Map.of("m", 2L);
 
   private RunnerTable table;
+  private AnnouncedWeights announced;
 
   /** Creates a table of five runners with old weights. */
   @BeforeMethod
   public void listRunners() {
+    announced = new AnnouncedWeights();
+    announced.announce("m", 2, NOW);
     table = new RunnerTable();
     for (int i = 1; i <= 5; i++) {
       table.put(info(i, false, 1), NOW);
@@ -43,7 +47,10 @@
   private List<String> next(WeightsRollout rollout, Instant now) {
     List<String> ids = new ArrayList<>();
     rollout
-        .nextOrders(WeightsRollout.outdatedRunners(table.all(), NEWEST, Runner::running), now)
+        .nextOrders(
+            WeightsRollout.outdatedRunners(table.all(), announced, Runner::running),
+            table.all().size(),
+            now)
         .forEach(entry -> ids.add(entry.runner().id()));
     return ids;
   }
@@ -68,6 +75,106 @@
     assertEquals(next(rollout, later), List.of("r1", "r2", "r3"));
   }
 
+  /** A lost answer to an order takes up the place of another change for a short time only. */
+  @Test
+  public void repeatsUnansweredOrdersSoon() {
+    WeightsRollout rollout = new WeightsRollout();
+    next(rollout, NOW);
+    rollout.orderUnanswered("r2");
+    Instant later = NOW.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
+    assertEquals(next(rollout, later.minusMillis(1)), List.of());
+    assertEquals(next(rollout, later), List.of("r2"));
+  }
+
+  /** In a large service, the number of concurrent changes grows with the runners. */
+  @Test
+  public void changesMoreAtOnceInLargeServices() {
+    for (int i = 6; i <= 47; i++) {
+      table.put(info(i, false, 1), NOW);
+    }
+    assertEquals(next(new WeightsRollout(), NOW).size(), 13);
+  }
+
+  /**
+   * Two versions in quick succession: the runners that are two versions behind change first, since
+   * requests must stop beginning on their weights earlier.
+   */
+  @Test
+  public void oldestWeightsChangeFirst() {
+    table.find("r1").orElseThrow().observeWeightVersion("m", 2);
+    table.find("r2").orElseThrow().observeWeightVersion("m", 2);
+    table.find("r5").orElseThrow().requestSent(1, 10, 10, NOW);
+    announced.announce("m", 3, NOW.plusMillis(1_500));
+    assertEquals(next(new WeightsRollout(), NOW.plusMillis(1_500)), List.of("r3", "r4", "r5"));
+  }
+
+  /** A change that is complete frees its place, also if a newer version was announced meanwhile. */
+  @Test
+  public void completeChangeFreesItsPlaceDespiteNewerVersion() {
+    WeightsRollout rollout = new WeightsRollout();
+    assertEquals(next(rollout, NOW), List.of("r1", "r2", "r3"));
+    announced.announce("m", 3, NOW.plusMillis(100));
+    table.find("r1").orElseThrow().observeWeightVersion("m", 2);
+    assertEquals(next(rollout, NOW.plusMillis(200)), List.of("r4"));
+  }
+
+  /**
+   * Pattern of a day that broke the time limit: a second version 1.5 s after the first, the node
+   * that gives orders is killed 0.3 s after the first, another takes over 2 s later, and every
+   * second order is neither answered nor carried out. No runner keeps replaced weights for longer
+   * than the limit.
+   */
+  @Test
+  public void overlappingVersionsEndInTimeDespiteLostOrders() {
+    final WeightsDeadline deadline = new WeightsDeadline(Duration.ofSeconds(6));
+    for (int i = 6; i <= 8; i++) {
+      table.put(info(i, false, 1), NOW);
+    }
+    Map<Runner, Instant> completeAt = new HashMap<>();
+    Map<Runner, Long> ordered = new HashMap<>();
+    WeightsRollout rollout = new WeightsRollout();
+    int orders = 0;
+    for (int millis = 0; millis <= 8_000; millis += 100) {
+      Instant now = NOW.plusMillis(millis);
+      if (millis == 1_500) {
+        announced.announce("m", 3, now);
+      }
+      completeAt.forEach(
+          (runner, at) -> {
+            if (!now.isBefore(at)) {
+              runner.observeWeightVersion("m", ordered.get(runner));
+            }
+          });
+      completeAt.values().removeIf(at -> !now.isBefore(at));
+      for (Runner runner : table.all()) {
+        boolean isLate =
+            announced
+                .replacedAt("m", runner.weightVersion("m"))
+                .filter(at -> now.isAfter(at.plus(deadline.limit())))
+                .isPresent();
+        assertFalse(isLate, runner.id() + " has old weights after " + millis + " ms");
+      }
+      if (millis == 2_300) {
+        rollout = new WeightsRollout();
+      }
+      if (millis > 300 && millis < 2_300) {
+        continue;
+      }
+      List<WeightsRollout.OutdatedRunner> outdated =
+          WeightsRollout.outdatedRunners(table.all(), announced, Runner::running);
+      for (WeightsRollout.OutdatedRunner entry : rollout.nextOrders(outdated, 8, now)) {
+        if (orders++ % 2 == 1) {
+          rollout.orderUnanswered(entry.runner().id());
+        } else {
+          boolean isUrgent = deadline.isChangeUrgent(entry.replacedAt(), now);
+          completeAt.put(entry.runner(), now.plusMillis(isUrgent ? 300 : 1_500));
+          ordered.put(entry.runner(), entry.version());
+        }
+      }
+    }
+    assertTrue(table.all().stream().allMatch(runner -> runner.weightVersion("m") == 3));
+  }
+
   /** Draining runners get no orders. */
   @Test
   public void skipsDrainingRunners() {
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
@@ -31,6 +31,7 @@
 
   private PartDirectory directory;
   private PeerTable peers;
+  private AnnouncedWeights announced;
   private RunnerSelector selector;
 
   /** Creates a selector without cached parts and peer reports. */
@@ -38,7 +39,10 @@
   public void createSelector() {
     directory = new PartDirectory();
     peers = new PeerTable();
-    selector = new RunnerSelector(directory, peers, "z1");
+    announced = new AnnouncedWeights();
+    selector =
+        new RunnerSelector(
+            directory, peers, announced, new WeightsDeadline(Duration.ofSeconds(6)), "z1");
   }
 
   private static Runner runner(String id, int host) {
@@ -54,7 +58,7 @@
 
   private static RunnerSelector.Request request(String affinityKey, int rank) {
     return new RunnerSelector.Request(
-        HISTORY, version -> "m@" + version, affinityKey, 327_680, 113_000, rank, 1);
+        HISTORY, version -> "m@" + version, affinityKey, 327_680, 113_000, rank);
   }
 
   private static RunnerSelector.Source source(Runner runner) {
@@ -240,8 +244,9 @@
     Runner old = runner("r1", 1);
     Runner updated = runner("r2", 2);
     updated.observeWeightVersion("m", 2);
+    announced.announce("m", 2, NOW);
     var request =
-        new RunnerSelector.Request(HISTORY, version -> "m@" + version, "k", 327_680, 113_000, 1, 2);
+        new RunnerSelector.Request(HISTORY, version -> "m@" + version, "k", 327_680, 113_000, 1);
     hold(old.info().endpoint());
     var selection =
         selector.selectForPrompt(request, List.of(old, updated), List.of(), NOW).orElseThrow();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.dragonflyhill.core.relay.AnnouncedWeights;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.PartDirectory;
@@ -22,6 +23,7 @@
 import org.dragonflyhill.core.relay.RunnerTable;
 import org.dragonflyhill.core.relay.Service;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
+import org.dragonflyhill.core.relay.WeightsDeadline;
 import org.dragonflyhill.core.relay.WeightsInUse;
 import org.dragonflyhill.daemon.NodeMetrics;
 
@@ -47,7 +49,8 @@
   private final PartPlacement partPlacement = new PartPlacement(parts);
   private final RunnerSelector runnerSelector;
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
-  private final Map<String, Long> newestWeights = new HashMap<>();
+  private final AnnouncedWeights announcedWeights = new AnnouncedWeights();
+  private final WeightsDeadline weightsDeadline;
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
   private boolean isLogReachable;
@@ -57,6 +60,7 @@
   public RelayState(
       String zone,
       SharedRetryBudget.Limits retryLimits,
+      WeightsDeadline weightsDeadline,
       InstantSource clock,
       DecisionLog log,
       NodeMetrics metrics) {
@@ -64,7 +68,8 @@
     this.log = log;
     this.metrics = metrics;
     this.retryLimits = retryLimits;
-    runnerSelector = new RunnerSelector(parts, peers, zone);
+    this.weightsDeadline = weightsDeadline;
+    runnerSelector = new RunnerSelector(parts, peers, announcedWeights, weightsDeadline, zone);
   }
 
   /** Returns the current time of the node's monotonic clock. */
@@ -160,7 +165,7 @@
   }
 
   private boolean isReplaced(String salt, WeightsInUse inUse) {
-    for (String model : newestWeights.keySet()) {
+    for (String model : announcedWeights.newest().keySet()) {
       String prefix = model + "@";
       if (salt.startsWith(prefix)) {
         String version = salt.substring(prefix.length()).split("#", 2)[0];
@@ -197,20 +202,24 @@
         event -> event.with("version", newer.version()).with("before", known));
   }
 
-  /** Records an announced weight version of a model, unless a newer one is known. */
-  public void recordNewestWeights(String model, long version) {
-    long known = newestWeights.getOrDefault(model, 0L);
-    if (version > known) {
-      newestWeights.put(model, version);
+  /** Records that the operator announced a weight version of a model. */
+  public void announceWeights(String model, long version) {
+    long known = announcedWeights.newest(model);
+    if (announcedWeights.announce(model, version, now())) {
       log.info(
           "weights_named",
           event -> event.with("model", model).with("version", version).with("before", known));
     }
   }
 
-  /** Returns the newest announced weight version of each model. */
-  public Map<String, Long> newestWeights() {
-    return newestWeights;
+  /** Returns the announced weight versions. */
+  public AnnouncedWeights announcedWeights() {
+    return announcedWeights;
+  }
+
+  /** Returns when requests must no longer begin on replaced weights. */
+  public WeightsDeadline weightsDeadline() {
+    return weightsDeadline;
   }
 
   /** Adds a runner of the host list or updates its entry. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -189,6 +189,10 @@
       }
     }
     Optional<Attempt> next = chooseRunner(candidates, now);
+    if (next.isEmpty() && !candidates.isEmpty()) {
+      fail("weights_replaced", "all runners left have replaced weights", NO_RUNNER_RETRY_AFTER);
+      return;
+    }
     if (next.isEmpty()) {
       fail("no_runner", "no runner of " + pool.name() + " is open", NO_RUNNER_RETRY_AFTER);
       return;
@@ -268,8 +272,7 @@
             affinity,
             engine.bytesPerToken(),
             engine.memoryTokens(),
-            rank(),
-            state.newestWeights().getOrDefault(prompt.model(), 0L));
+            rank());
     return state
         .runnerSelector()
         .selectForPrompt(selectionRequest, candidates, state.fetchSources(pool.name(), engine), now)
@@ -462,6 +465,12 @@
       onTimeout();
       return;
     }
+    if (currentAttempt.filter(current -> current.hasOutlivedWeights(now)).isPresent()) {
+      Attempt outdated = currentAttempt.get();
+      logAttempt("weights_replaced", outdated, "not begun before its weights must not be used");
+      replaceAttempt(outdated, "weights_replaced", "the weights of its runner were replaced");
+      return;
+    }
     // A response that has started can be continued by another runner only if it is resumable.
     boolean isReplaceable = isResponseStarted ? isResumable() : route.isRepeatable();
     if (currentAttempt.isPresent() && isReplaceable && currentAttempt.get().isSilent(now)) {
@@ -470,17 +479,22 @@
         logAttempt("runner_silent", silent, "no data from the runner");
         silent.runner.eject(now);
         server.runnerConnections().closeIdle(silent.runner.info().endpoint());
-        silent.cancel();
         eventStream.dropPartial();
-        currentAttempt = Optional.empty();
-        mayHaveRun = true;
-        if (!retryOnAnotherRunner("silent")) {
-          fail("runner_silent", "the runner fell silent", RUNNER_FAILURE_RETRY_AFTER);
-        }
+        replaceAttempt(silent, "runner_silent", "the runner fell silent");
       }
     }
   }
 
+  /** Cancels an attempt that may have run and retries on another runner, or fails the request. */
+  private void replaceAttempt(Attempt replaced, String reason, String detail) {
+    replaced.cancel();
+    currentAttempt = Optional.empty();
+    mayHaveRun = true;
+    if (!route.isRepeatable() || !retryOnAnotherRunner(reason)) {
+      fail(reason, detail, RUNNER_FAILURE_RETRY_AFTER);
+    }
+  }
+
   private boolean isResumable() {
     return route.kind() == Route.Kind.STREAM && route.isResumable();
   }
@@ -582,6 +596,23 @@
               && Duration.between(lastActivityAt, now).compareTo(Runner.SILENCE_TIMEOUT) > 0;
     }
 
+    /**
+     * Returns whether the request was sent but has not begun, and its runner's weights were
+     * replaced so long ago that it must not begin on them any more.
+     */
+    boolean hasOutlivedWeights(Instant now) {
+      return selection != null
+          && connection.isPresent()
+          && !hasResponse
+          && state
+              .weightsDeadline()
+              .mustCancel(
+                  state
+                      .announcedWeights()
+                      .replacedAt(requestHeaders.prompt().get().model(), selection.weightVersion()),
+                  now);
+    }
+
     void cancel() {
       if (!isEnded && connection.isPresent()) {
         RunnerConnection used = connection.get();
@@ -683,7 +714,7 @@
       String model = requestHeaders.prompt().get().model();
       // The runner has changed its weights at least once. If the newest version were assumed, the
       // rollout would skip a runner that may still be behind.
-      long newest = state.newestWeights().getOrDefault(model, 0L);
+      long newest = state.announcedWeights().newest(model);
       runner.observeWeightVersion(model, Math.min(newest, selection.weightVersion() + 1));
       triedRunners.remove(runner.id());
     }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -123,7 +123,7 @@
     List<WeightsRollout.OutdatedRunner> outdated =
         WeightsRollout.outdatedRunners(
             state.runners().all(),
-            state.newestWeights(),
+            state.announcedWeights(),
             runner -> runner.running() + state.peers().running(runner.id(), now));
     // A draining runner gets no orders, but its running requests may still read old parts.
     inUse.observe(state.runners().all(), now);
@@ -229,8 +229,15 @@
   }
 
   private boolean isOtherNodeActive(String lastHolder, Instant now) {
-    String name = lastHolder.substring(0, Math.max(0, lastHolder.lastIndexOf('/')));
-    return !name.equals(node) && state.peers().isActive(name, now);
+    int separator = lastHolder.lastIndexOf('/');
+    try {
+      String name = lastHolder.substring(0, Math.max(0, separator));
+      long incarnation = Long.parseLong(lastHolder.substring(separator + 1));
+      return !name.equals(node) && state.peers().isActive(name, incarnation, now);
+    } catch (NumberFormatException e) {
+      state.log().info("duty_unreadable", event -> event.with("holder", lastHolder));
+      return false;
+    }
   }
 
   private void appendLeaseRecord(Instant now) {
@@ -261,8 +268,9 @@
   }
 
   private void sendOrders(List<WeightsRollout.OutdatedRunner> outdated, Instant now) {
-    for (WeightsRollout.OutdatedRunner entry : rollout.nextOrders(outdated, now)) {
-      lease.held(state.now()).ifPresent(held -> sendOrder(entry, held));
+    int runners = state.runners().all().size();
+    for (WeightsRollout.OutdatedRunner entry : rollout.nextOrders(outdated, runners, now)) {
+      prepareOrder(entry);
     }
     for (WeightsRollout.OutdatedRunner entry : outdated) {
       if (rollout.changingRunners().contains(entry.runner().id())) {
@@ -271,8 +279,33 @@
     }
   }
 
-  private void sendOrder(WeightsRollout.OutdatedRunner entry, LeaderLease.Held held) {
+  /** Queries a runner's revision and then sends it an order that is valid for this one only. */
+  private void prepareOrder(WeightsRollout.OutdatedRunner entry) {
+    Runner runner = entry.runner();
+    queriedAt.put(runner.id(), state.now());
+    orders.queryWeights(
+        runner.info(),
+        result -> {
+          if (result.isLeft()) {
+            onOrderLost(entry, result.getLeft());
+            return;
+          }
+          onWeightsReported(runner, result.get().versions());
+          boolean isBehind = runner.weightVersion(entry.model()) < entry.version();
+          lease
+              .held(state.now())
+              .filter(held -> isBehind)
+              .ifPresent(held -> sendOrder(entry, result.get().revision(), held));
+        });
+  }
+
+  private void sendOrder(
+      WeightsRollout.OutdatedRunner entry, long revision, LeaderLease.Held held) {
     Runner runner = entry.runner();
+    RunnerOrders.SwitchMode mode =
+        state.weightsDeadline().isChangeUrgent(entry.replacedAt(), state.now())
+            ? RunnerOrders.SwitchMode.IMMEDIATE
+            : RunnerOrders.SwitchMode.AFTER_RUNNING;
     state
         .log()
         .info(
@@ -283,29 +316,38 @@
                     .with("model", entry.model())
                     .with("version", entry.version())
                     .with("before", runner.weightVersion(entry.model()))
+                    .with("mode", mode)
+                    .with("revision", revision)
                     .with("token", held.token()));
-    queriedAt.put(runner.id(), state.now());
     orders.changeWeights(
         runner.info(),
         entry.model(),
         entry.version(),
+        mode,
+        revision,
         node,
         held.token(),
         result -> onOrderResult(entry, result));
   }
 
+  private void onOrderLost(WeightsRollout.OutdatedRunner entry, String error) {
+    rollout.orderUnanswered(entry.runner().id());
+    state
+        .log()
+        .info(
+            "order_unanswered",
+            event -> event.with("runner", entry.runner().id()).with("error", error));
+  }
+
   private void onOrderResult(
       WeightsRollout.OutdatedRunner entry, Either<String, RunnerOrders.Outcome> result) {
     Runner runner = entry.runner();
     if (result.isLeft()) {
-      state
-          .log()
-          .info(
-              "order_unanswered",
-              event -> event.with("runner", runner.id()).with("error", result.getLeft()));
+      onOrderLost(entry, result.getLeft());
       return;
     }
     switch (result.get()) {
+      case BUSY -> rollout.orderUnanswered(runner.id());
       case ALREADY_APPLIED -> runner.observeWeightVersion(entry.model(), entry.version());
       case REJECTED -> rollout.orderRejected(runner.id());
       case FENCED -> {
@@ -313,8 +355,8 @@
         lease.drop();
         rollout.clear();
       }
-      default -> {
-        // The runner is carrying out an order; its report shows whether it was this one.
+      case ACCEPTED -> {
+        // The runner is carrying out the order; its report shows when it is complete.
       }
     }
   }
@@ -326,7 +368,8 @@
     }
     queriedAt.put(runner.id(), now);
     orders.queryWeights(
-        runner.info(), result -> result.peek(weights -> onWeightsReported(runner, weights)));
+        runner.info(),
+        result -> result.peek(report -> onWeightsReported(runner, report.versions())));
   }
 
   private void onWeightsReported(Runner runner, Map<String, Long> weights) {
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -24,6 +24,7 @@
 import org.dragonflyhill.core.relay.RunnerInfo;
 import org.dragonflyhill.core.relay.Service;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
+import org.dragonflyhill.core.relay.WeightsDeadline;
 import org.dragonflyhill.core.relay.WeightsInUse;
 import org.dragonflyhill.daemon.MonotonicClock;
 import org.dragonflyhill.daemon.NodeMetrics;
@@ -56,6 +57,7 @@
         new RelayState(
             "z",
             new SharedRetryBudget.Limits(Duration.ofSeconds(10), 0.2, 10, 0.5),
+            new WeightsDeadline(Duration.ofSeconds(60)),
             clock,
             new DecisionLog(clock),
             new NodeMetrics());
@@ -108,7 +110,7 @@
                   new WeightsInUse(state.now().minus(WeightsInUse.MAX_UNLISTED_LIFETIME)),
                   System::currentTimeMillis)
               .start();
-          state.recordNewestWeights("m", 2);
+          state.announceWeights("m", 2);
           return null;
         });
   }
@@ -241,6 +243,8 @@
         RunnerInfo runner,
         String model,
         long version,
+        SwitchMode mode,
+        long revision,
         String holder,
         long fencingToken,
         Consumer<Either<String, Outcome>> done) {
@@ -251,13 +255,14 @@
     }
 
     @Override
-    public void queryWeights(RunnerInfo runner, Consumer<Either<String, Map<String, Long>>> done) {
+    public void queryWeights(RunnerInfo runner, Consumer<Either<String, WeightsReport>> done) {
       int queryCount = queries.merge(runner.id(), 1, Integer::sum);
       if (queryCount >= 2 && !changed.contains(runner.id())) {
         queries.remove(runner.id());
         changed.add(runner.id());
       }
-      done.accept(Either.right(Map.of("m", changed.contains(runner.id()) ? 2L : 1L)));
+      Map<String, Long> versions = Map.of("m", changed.contains(runner.id()) ? 2L : 1L);
+      done.accept(Either.right(new WeightsReport(versions, 0)));
     }
 
     @Override
