--- a/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
@@ -43,6 +45,27 @@
     totals.merge(holder, (long) tokens - (before == null ? 0 : before), Long::sum);
   }
 
+  /** Applies a change that this node or a peer has read. */
+  public void apply(PartChange change) {
+    switch (change) {
+      case PartChange.Cleared cleared -> forget(cleared.holder());
+      case PartChange.Stored stored ->
+          setTokens(stored.holder(), stored.salt(), stored.part(), stored.tokens());
+    }
+  }
+
+  /** Returns the changes that lead from an unknown holder to its present entries. */
+  public List<PartChange> contents(Endpoint holder) {
+    List<PartChange> changes = new ArrayList<>();
+    changes.add(new PartChange.Cleared(holder));
+    tokensByHolder
+        .getOrDefault(holder, Map.of())
+        .forEach(
+            (key, tokens) ->
+                changes.add(new PartChange.Stored(holder, key.salt(), key.part(), tokens)));
+    return changes;
+  }
+
   /** Removes all entries of a holder. */
   public void forget(Endpoint holder) {
     tokensByHolder.remove(holder);
@@ -51,9 +74,14 @@
     updatedAt.remove(holder);
   }
 
-  /** Records that the entries of a holder are up to date. */
-  public void markFresh(Endpoint holder, Instant now) {
-    updatedAt.put(holder, now);
+  /** Records that the entries of a holder were up to date at a time. */
+  public void markFresh(Endpoint holder, Instant at) {
+    updatedAt.merge(holder, at, (known, other) -> other.isAfter(known) ? other : known);
+  }
+
+  /** Returns the time at which the entries of a holder were last up to date. */
+  public Optional<Instant> updatedAt(Endpoint holder) {
+    return Optional.ofNullable(updatedAt.get(holder));
   }
 
   /** Returns whether a holder has reported its changes recently enough to rely on its entries. */
--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartFeed.java
@@ -0,0 +1,129 @@
+package org.dragonflyhill.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.OptionalLong;
+
+/**
+ * This node's position in the part changes of one peer. Changes are applied in order, so what is
+ * lost on the way has to be sent again before later changes count.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+public final class PartFeed {
+
+  /** Requested sequence number that stands for a complete snapshot. */
+  public static final long SNAPSHOT = -1;
+
+  /** Minimum time between two requests for missing changes. */
+  public static final Duration REQUEST_INTERVAL = Duration.ofMillis(400);
+
+  private static final long NO_INCARNATION = -1;
+
+  private long incarnation = NO_INCARNATION;
+  private long next = SNAPSHOT;
+  private long snapshotSequence = SNAPSHOT;
+  private int nextSnapshotIndex;
+  private Instant requestedAt = Instant.MIN;
+
+  /** Returns the changes of a message that are to be applied now, in order. */
+  public List<PartChange> accept(Changes message) {
+    observe(message.incarnation());
+    if (next == SNAPSHOT && message.first() == 0) {
+      next = 0;
+    }
+    long known = next - message.first();
+    if (next == SNAPSHOT || known < 0 || known >= message.changes().size()) {
+      return List.of();
+    }
+    next = message.first() + message.changes().size();
+    return message.changes().subList((int) known, message.changes().size());
+  }
+
+  /**
+   * Returns the changes of a piece of a snapshot that are to be applied now. Pieces after a missing
+   * one are ignored, and the snapshot is requested again.
+   */
+  public List<PartChange> accept(Snapshot message) {
+    observe(message.incarnation());
+    if (next >= message.sequence()) {
+      return List.of();
+    }
+    if (message.index() == 0) {
+      snapshotSequence = message.sequence();
+      nextSnapshotIndex = 0;
+    }
+    if (message.sequence() != snapshotSequence || message.index() != nextSnapshotIndex) {
+      return List.of();
+    }
+    nextSnapshotIndex++;
+    if (nextSnapshotIndex == message.count()) {
+      next = snapshotSequence;
+    }
+    return message.changes();
+  }
+
+  /**
+   * Returns the sequence number from which changes are to be requested from the peer, {@link
+   * #SNAPSHOT} for all that it knows, or empty if none are missing or a request is under way.
+   *
+   * @param peerIncarnation number of the peer's process start
+   * @param peerNext number of the peer's next change
+   * @param now present time
+   */
+  public OptionalLong missingFrom(long peerIncarnation, long peerNext, Instant now) {
+    observe(peerIncarnation);
+    if (next == SNAPSHOT && peerNext == 0) {
+      next = 0;
+    }
+    boolean isRequested = now.isBefore(requestedAt.plus(REQUEST_INTERVAL));
+    if (next >= peerNext || isRequested) {
+      return OptionalLong.empty();
+    }
+    requestedAt = now;
+    return OptionalLong.of(next);
+  }
+
+  private void observe(long newIncarnation) {
+    if (newIncarnation != incarnation) {
+      incarnation = newIncarnation;
+      next = SNAPSHOT;
+      snapshotSequence = SNAPSHOT;
+      requestedAt = Instant.EPOCH;
+    }
+  }
+
+  /**
+   * Consecutive changes.
+   *
+   * @param incarnation number of the sender's process start
+   * @param first sequence number of the first change
+   * @param changes the changes
+   */
+  public record Changes(long incarnation, long first, List<PartChange> changes) {
+
+    /** Creates a message with a copy of the changes. */
+    public Changes {
+      changes = List.copyOf(changes);
+    }
+  }
+
+  /**
+   * A piece of a snapshot of all parts that the sender reads.
+   *
+   * @param incarnation number of the sender's process start
+   * @param sequence number of the first change that is not in the snapshot
+   * @param index number of this piece, from 0
+   * @param count number of pieces
+   * @param changes changes that lead to the state of the snapshot
+   */
+  public record Snapshot(
+      long incarnation, long sequence, int index, int count, List<PartChange> changes) {
+
+    /** Creates a message with a copy of the changes. */
+    public Snapshot {
+      changes = List.copyOf(changes);
+    }
+  }
+}
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
@@ -1,36 +1,51 @@
 package org.dragonflyhill.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
  * A report that a node sends to its peers about itself. Immutable; no component is null.
  *
  * @param node name of the node
+ * @param zone availability zone of the node
  * @param incarnation number that identifies the process start of the node
  * @param sequence number of the report within the incarnation
  * @param isLogReachable whether the node can reach the log service
  * @param isStopping whether the node is shutting down
  * @param loads load of this node on each runner, by runner id
  * @param changingRunners ids of the runners that the node has ordered to change their weights
- * @param weightVersions weight version observed at each runner, by runner id
+ * @param weightVersions weight versions observed at runners before the host list showed them, by
+ *     runner id
+ * @param announcedWeights ages of the weight versions announced lately, by model and version
+ * @param holderReports age of the newest cache event of each runner and store that the node reads
+ * @param nextPartChange sequence number that the node's next part change will have
+ * @param runnerClockMillis the runners' clock at the time of the report, empty if unknown
  */
 public record PeerReport(
     String node,
+    String zone,
     long incarnation,
     long sequence,
     boolean isLogReachable,
     boolean isStopping,
     Map<String, Load> loads,
     Set<String> changingRunners,
-    Map<String, Long> weightVersions) {
+    Map<String, Long> weightVersions,
+    Map<String, Map<Long, Duration>> announcedWeights,
+    Map<Endpoint, Duration> holderReports,
+    long nextPartChange,
+    OptionalLong runnerClockMillis) {
 
   /** Creates a report with copies of the collections. */
   public PeerReport {
     loads = Map.copyOf(loads);
     changingRunners = Set.copyOf(changingRunners);
     weightVersions = Map.copyOf(weightVersions);
+    announcedWeights = Map.copyOf(announcedWeights);
+    holderReports = Map.copyOf(holderReports);
   }
 
   /**
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToLongFunction;
@@ -15,12 +16,15 @@
  */
 public final class PeerTable {
 
-  /** Maximum age of a report whose load and weight changes are counted. */
+  /** Minimum of the maximum age of a report whose load and weight changes are counted. */
   public static final Duration LOAD_MAX_AGE = Duration.ofMillis(700);
 
-  /** Time without a report after which a peer is considered dead or disconnected. */
+  /** Minimum of the time without a report after which a peer is considered dead or disconnected. */
   public static final Duration PEER_TIMEOUT = Duration.ofMillis(900);
 
+  /** Number of report periods that a load counts and after which a peer is considered dead. */
+  private static final int PERIODS_UNTIL_TIMEOUT = 4;
+
   /** Maximum age of the last report of a peer that counts as a node sharing the runners. */
   private static final Duration MEMBER_MAX_AGE = Duration.ofSeconds(10);
 
@@ -38,6 +42,26 @@
     }
   }
 
+  /** Returns the peers that have reported recently and are not stopping. */
+  public List<HolderAssignment.Peer> livePeers(Instant now) {
+    return peers.values().stream()
+        .filter(latest -> isWithin(latest.receivedAt(), atLeast(PEER_TIMEOUT), now))
+        .filter(latest -> !latest.report().isStopping())
+        .map(latest -> new HolderAssignment.Peer(latest.report().node(), latest.report().zone()))
+        .toList();
+  }
+
+  /** Removes the peers that have not reported for so long that they count as gone. */
+  public void removeGone(Instant now) {
+    peers.values().removeIf(latest -> !isWithin(latest.receivedAt(), MEMBER_MAX_AGE, now));
+  }
+
+  /** Returns a time limit, extended if reports are sent so seldom that it would be too short. */
+  private Duration atLeast(Duration limit) {
+    Duration periods = PeerSchedule.period(peers.size()).multipliedBy(PERIODS_UNTIL_TIMEOUT);
+    return periods.compareTo(limit) > 0 ? periods : limit;
+  }
+
   /** Returns the number of nodes that share the runners, including this one. */
   public int nodeCount(Instant now) {
     int nodes = 1;
@@ -79,9 +103,10 @@
 
   private long sum(String runner, Instant now, ToLongFunction<PeerReport.Load> part) {
     long sum = 0;
+    Duration maxAge = atLeast(LOAD_MAX_AGE);
     for (LatestReport latest : peers.values()) {
       PeerReport.Load load = latest.report().loads().get(runner);
-      if (load != null && isWithin(latest.receivedAt(), LOAD_MAX_AGE, now)) {
+      if (load != null && isWithin(latest.receivedAt(), maxAge, now)) {
         sum += part.applyAsLong(load);
       }
     }
@@ -91,7 +116,7 @@
   /** Returns whether any peer reports that it has ordered a runner to change its weights. */
   public boolean isChangingWeights(String runner, Instant now) {
     for (LatestReport latest : peers.values()) {
-      if (isWithin(latest.receivedAt(), LOAD_MAX_AGE, now)
+      if (isWithin(latest.receivedAt(), atLeast(LOAD_MAX_AGE), now)
           && latest.report().changingRunners().contains(runner)) {
         return true;
       }
@@ -110,7 +135,7 @@
   public boolean isActive(String node, long incarnation, Instant now) {
     return Optional.ofNullable(peers.get(node))
         .filter(latest -> latest.report().incarnation() == incarnation)
-        .filter(latest -> isWithin(latest.receivedAt(), PEER_TIMEOUT, now))
+        .filter(latest -> isWithin(latest.receivedAt(), atLeast(PEER_TIMEOUT), now))
         .filter(latest -> latest.report().isLogReachable() && !latest.report().isStopping())
         .isPresent();
   }
--- /dev/null
+++ b/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
@@ -0,0 +1,43 @@
+package org.dragonflyhill.core.relay;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** Reports of peers for tests. */
+final class PeerReports {
+
+  private PeerReports() {}
+
+  /** Returns a report of a node without load. */
+  static PeerReport of(String node, String zone, long incarnation, long sequence) {
+    return report(node, zone, incarnation, sequence, Map.of());
+  }
+
+  /** Returns the first report of a node with load. */
+  static PeerReport withLoads(String node, Map<String, PeerReport.Load> loads) {
+    return report(node, "z1", 1, 1, loads);
+  }
+
+  private static PeerReport report(
+      String node,
+      String zone,
+      long incarnation,
+      long sequence,
+      Map<String, PeerReport.Load> loads) {
+    return new PeerReport(
+        node,
+        zone,
+        incarnation,
+        sequence,
+        true,
+        false,
+        loads,
+        Set.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        0,
+        OptionalLong.empty());
+  }
+}
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
@@ -121,15 +121,8 @@
   public void countsTheLoadOfPeers() {
     List<Runner> runners = List.of(runner("r1", 1), runner("r2", 2));
     peers.update(
-        new PeerReport(
-            "n2",
-            1,
-            1,
-            true,
-            false,
-            Map.of("r1", new PeerReport.Load(9, List.of(0L, 80_000L), List.of(0L, 80_000L))),
-            java.util.Set.of(),
-            Map.of()),
+        PeerReports.withLoads(
+            "n2", Map.of("r1", new PeerReport.Load(9, List.of(0L, 80_000L), List.of(0L, 80_000L)))),
         NOW);
     for (int i = 0; i < 10; i++) {
       var selection =
--- a/core/src/test/java/org/dragonflyhill/core/relay/WeightsDeadlineTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/WeightsDeadlineTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.testng.annotations.Test;
 
 /** The time limit for replaced weights, and who may act on it. */
@@ -102,7 +101,7 @@
   @Test
   public void restartedHolderIsNotActive() {
     PeerTable peers = new PeerTable();
-    peers.update(new PeerReport("n", 2, 1, true, false, Map.of(), Set.of(), Map.of()), NOW);
+    peers.update(PeerReports.of("n", "z1", 2, 1), NOW);
     assertTrue(peers.isActive("n", 2, NOW));
     assertFalse(peers.isActive("n", 1, NOW));
   }
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagram.java
@@ -0,0 +1,39 @@
+package org.dragonflyhill.daemon.relay;
+
+import org.dragonflyhill.core.relay.PartFeed;
+import org.dragonflyhill.core.relay.PeerReport;
+
+/** A datagram that nodes exchange. Immutable; no component is null. */
+sealed interface PeerDatagram {
+
+  /**
+   * A node's report about itself.
+   *
+   * @param report the report
+   */
+  record Report(PeerReport report) implements PeerDatagram {}
+
+  /**
+   * Part changes that a node has read.
+   *
+   * @param node name of the sender
+   * @param changes the changes
+   */
+  record Changes(String node, PartFeed.Changes changes) implements PeerDatagram {}
+
+  /**
+   * A piece of a snapshot of the parts that a node reads.
+   *
+   * @param node name of the sender
+   * @param snapshot the piece
+   */
+  record Snapshot(String node, PartFeed.Snapshot snapshot) implements PeerDatagram {}
+
+  /**
+   * A request to send part changes again.
+   *
+   * @param node name of the sender
+   * @param from number of the first change that it misses, {@link PartFeed#SNAPSHOT} for all
+   */
+  record Resend(String node, long from) implements PeerDatagram {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -0,0 +1,278 @@
+package org.dragonflyhill.daemon.relay;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.PartChange;
+import org.dragonflyhill.core.relay.PartFeed;
+import org.dragonflyhill.core.relay.PeerReport;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes and decodes the datagrams that nodes exchange, as MessagePack. */
+final class PeerDatagramCodec {
+
+  /** Version of the encoding. Datagrams of other versions are rejected. */
+  private static final int SCHEMA_VERSION = 3;
+
+  private static final int KIND_REPORT = 0;
+  private static final int KIND_CHANGES = 1;
+  private static final int KIND_SNAPSHOT = 2;
+  private static final int KIND_RESEND = 3;
+
+  /** Number of tokens that stands for a cleared holder. */
+  private static final int CLEARED = -1;
+
+  /** Maximum number of ranks in a list; more would be a corrupt datagram. */
+  private static final int MAX_RANKS = 64;
+
+  private PeerDatagramCodec() {}
+
+  static byte[] encode(PeerDatagram datagram) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(SCHEMA_VERSION);
+      switch (datagram) {
+        case PeerDatagram.Report report -> packReport(report.report(), packer);
+        case PeerDatagram.Changes changes -> {
+          packer.packInt(KIND_CHANGES).packString(changes.node());
+          packer.packLong(changes.changes().incarnation()).packLong(changes.changes().first());
+          packChanges(changes.changes().changes(), packer);
+        }
+        case PeerDatagram.Snapshot snapshot -> {
+          PartFeed.Snapshot piece = snapshot.snapshot();
+          packer.packInt(KIND_SNAPSHOT).packString(snapshot.node());
+          packer.packLong(piece.incarnation()).packLong(piece.sequence());
+          packer.packInt(piece.index()).packInt(piece.count());
+          packChanges(piece.changes(), packer);
+        }
+        case PeerDatagram.Resend resend ->
+            packer.packInt(KIND_RESEND).packString(resend.node()).packLong(resend.from());
+      }
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("cannot write to an in-memory buffer", e);
+    }
+  }
+
+  static Either<String, PeerDatagram> decode(byte[] bytes) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      int schema = unpacker.unpackInt();
+      if (schema != SCHEMA_VERSION) {
+        return Either.left("schema " + schema);
+      }
+      int kind = unpacker.unpackInt();
+      return switch (kind) {
+        case KIND_REPORT -> Either.right(new PeerDatagram.Report(unpackReport(unpacker)));
+        case KIND_CHANGES ->
+            Either.right(
+                new PeerDatagram.Changes(
+                    unpacker.unpackString(),
+                    new PartFeed.Changes(
+                        unpacker.unpackLong(), unpacker.unpackLong(), unpackChanges(unpacker))));
+        case KIND_SNAPSHOT ->
+            Either.right(
+                new PeerDatagram.Snapshot(
+                    unpacker.unpackString(),
+                    new PartFeed.Snapshot(
+                        unpacker.unpackLong(),
+                        unpacker.unpackLong(),
+                        unpacker.unpackInt(),
+                        unpacker.unpackInt(),
+                        unpackChanges(unpacker))));
+        case KIND_RESEND ->
+            Either.right(new PeerDatagram.Resend(unpacker.unpackString(), unpacker.unpackLong()));
+        default -> Either.left("kind " + kind);
+      };
+    } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
+      return Either.left(e.toString());
+    }
+  }
+
+  private static void packReport(PeerReport report, MessagePacker packer) throws IOException {
+    packer.packInt(KIND_REPORT).packString(report.node()).packString(report.zone());
+    packer.packLong(report.incarnation()).packLong(report.sequence());
+    packer.packBoolean(report.isLogReachable()).packBoolean(report.isStopping());
+    packer.packMapHeader(report.loads().size());
+    for (Map.Entry<String, PeerReport.Load> entry : report.loads().entrySet()) {
+      packer.packString(entry.getKey()).packInt(entry.getValue().running());
+      packSparse(entry.getValue().prefillTokens(), packer);
+      packSparse(entry.getValue().memoryTokens(), packer);
+    }
+    packer.packArrayHeader(report.changingRunners().size());
+    for (String runner : report.changingRunners()) {
+      packer.packString(runner);
+    }
+    packer.packMapHeader(report.weightVersions().size());
+    for (Map.Entry<String, Long> entry : report.weightVersions().entrySet()) {
+      packer.packString(entry.getKey()).packLong(entry.getValue());
+    }
+    packer.packMapHeader(report.announcedWeights().size());
+    for (Map.Entry<String, Map<Long, Duration>> model : report.announcedWeights().entrySet()) {
+      packer.packString(model.getKey()).packMapHeader(model.getValue().size());
+      for (Map.Entry<Long, Duration> version : model.getValue().entrySet()) {
+        packer.packLong(version.getKey()).packLong(version.getValue().toMillis());
+      }
+    }
+    packer.packMapHeader(report.holderReports().size());
+    for (Map.Entry<Endpoint, Duration> holder : report.holderReports().entrySet()) {
+      packEndpoint(holder.getKey(), packer);
+      packer.packLong(holder.getValue().toMillis());
+    }
+    packer.packLong(report.nextPartChange());
+    packer.packBoolean(report.runnerClockMillis().isPresent());
+    packer.packLong(report.runnerClockMillis().orElse(0));
+  }
+
+  private static PeerReport unpackReport(MessageUnpacker unpacker) throws IOException {
+    final String node = unpacker.unpackString();
+    final String zone = unpacker.unpackString();
+    final long incarnation = unpacker.unpackLong();
+    final long sequence = unpacker.unpackLong();
+    final boolean isLogReachable = unpacker.unpackBoolean();
+    final boolean isStopping = unpacker.unpackBoolean();
+    Map<String, PeerReport.Load> loads = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      loads.put(
+          unpacker.unpackString(),
+          new PeerReport.Load(
+              unpacker.unpackInt(), unpackSparse(unpacker), unpackSparse(unpacker)));
+    }
+    Set<String> changing = new HashSet<>();
+    for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+      changing.add(unpacker.unpackString());
+    }
+    Map<String, Long> weights = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      weights.put(unpacker.unpackString(), unpacker.unpackLong());
+    }
+    Map<String, Map<Long, Duration>> announced = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      Map<Long, Duration> versions = new HashMap<>();
+      announced.put(unpacker.unpackString(), versions);
+      for (int j = unpacker.unpackMapHeader(); j > 0; j--) {
+        versions.put(unpacker.unpackLong(), Duration.ofMillis(unpacker.unpackLong()));
+      }
+    }
+    Map<Endpoint, Duration> holders = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      holders.put(unpackEndpoint(unpacker), Duration.ofMillis(unpacker.unpackLong()));
+    }
+    final long nextPartChange = unpacker.unpackLong();
+    final boolean hasClock = unpacker.unpackBoolean();
+    final long clock = unpacker.unpackLong();
+    return new PeerReport(
+        node,
+        zone,
+        incarnation,
+        sequence,
+        isLogReachable,
+        isStopping,
+        loads,
+        changing,
+        weights,
+        announced,
+        holders,
+        nextPartChange,
+        hasClock ? OptionalLong.of(clock) : OptionalLong.empty());
+  }
+
+  /** Packs changes with a table of holders and one of salts, since both recur in most changes. */
+  private static void packChanges(List<PartChange> changes, MessagePacker packer)
+      throws IOException {
+    Map<Endpoint, Integer> holders = new LinkedHashMap<>();
+    Map<String, Integer> salts = new LinkedHashMap<>();
+    for (PartChange change : changes) {
+      holders.putIfAbsent(change.holder(), holders.size());
+      if (change instanceof PartChange.Stored stored) {
+        salts.putIfAbsent(stored.salt(), salts.size());
+      }
+    }
+    packer.packArrayHeader(holders.size());
+    for (Endpoint holder : holders.keySet()) {
+      packEndpoint(holder, packer);
+    }
+    packer.packArrayHeader(salts.size());
+    for (String salt : salts.keySet()) {
+      packer.packString(salt);
+    }
+    packer.packArrayHeader(changes.size());
+    for (PartChange change : changes) {
+      packer.packInt(holders.get(change.holder()));
+      switch (change) {
+        case PartChange.Cleared cleared -> packer.packInt(CLEARED);
+        case PartChange.Stored stored ->
+            packer
+                .packInt(stored.tokens())
+                .packInt(salts.get(stored.salt()))
+                .packString(stored.part());
+      }
+    }
+  }
+
+  private static List<PartChange> unpackChanges(MessageUnpacker unpacker) throws IOException {
+    List<Endpoint> holders = new ArrayList<>();
+    for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+      holders.add(unpackEndpoint(unpacker));
+    }
+    List<String> salts = new ArrayList<>();
+    for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+      salts.add(unpacker.unpackString());
+    }
+    List<PartChange> changes = new ArrayList<>();
+    for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+      Endpoint holder = holders.get(unpacker.unpackInt());
+      int tokens = unpacker.unpackInt();
+      changes.add(
+          tokens == CLEARED
+              ? new PartChange.Cleared(holder)
+              : new PartChange.Stored(
+                  holder, salts.get(unpacker.unpackInt()), unpacker.unpackString(), tokens));
+    }
+    return changes;
+  }
+
+  private static void packEndpoint(Endpoint endpoint, MessagePacker packer) throws IOException {
+    packer.packString(endpoint.host()).packInt(endpoint.port());
+  }
+
+  private static Endpoint unpackEndpoint(MessageUnpacker unpacker) throws IOException {
+    return new Endpoint(unpacker.unpackString(), unpacker.unpackInt());
+  }
+
+  /** Packs the numbers that are not 0, with their positions. Most ranks have none. */
+  private static void packSparse(List<Long> numbers, MessagePacker packer) throws IOException {
+    packer.packInt(numbers.size());
+    packer.packMapHeader((int) numbers.stream().filter(number -> number != 0).count());
+    for (int i = 0; i < numbers.size(); i++) {
+      if (numbers.get(i) != 0) {
+        packer.packInt(i).packLong(numbers.get(i));
+      }
+    }
+  }
+
+  private static List<Long> unpackSparse(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackInt();
+    if (size < 0 || size > MAX_RANKS) {
+      throw new IOException("list of " + size + " ranks");
+    }
+    Long[] numbers = new Long[size];
+    Arrays.fill(numbers, 0L);
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      numbers[unpacker.unpackInt()] = unpacker.unpackLong();
+    }
+    return List.of(numbers);
+  }
+}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -11,30 +11,50 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.HolderAssignment;
+import org.dragonflyhill.core.relay.PartChange;
+import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.PeerSchedule;
 import org.dragonflyhill.core.relay.Runner;
 
 /**
- * Sends reports of this node's load to the other nodes several times a second and receives theirs.
+ * Exchanges load and changes of cached parts with the other nodes, as UDP datagrams.
  *
- * <p>Reports are sent as UDP datagrams. Lost ones are not resent, since the next one replaces them.
+ * <p>Lost reports are not sent again, since the next one replaces them. Part changes are numbered;
+ * a node that misses some asks for them.
  */
 public final class PeerGossip implements AutoCloseable {
 
-  private static final Duration INTERVAL = Duration.ofMillis(150);
+  /** Number of part changes in a datagram, by which it fits into one frame of the network. */
+  static final int MAX_CHANGES_PER_DATAGRAM = 50;
+
+  /** Number of missed changes above which a snapshot is sent instead. */
+  private static final int MAX_RESENT_CHANGES = 1_000;
+
+  /** Maximum age of the announcements of weights in a report; older ones are in force by then. */
+  private static final Duration MAX_ANNOUNCEMENT_AGE = Duration.ofSeconds(30);
 
   private final RelayState state;
+  private final HolderAssignment assignment;
   private final String node;
+  private final String zone;
   private final long incarnation;
   private final Endpoint ownAddress;
   private final Channel channel;
-  private final Map<String, Endpoint> peers = new HashMap<>();
+  private final Map<String, Peer> peers = new TreeMap<>();
+  private final Map<String, PartFeed> feeds = new HashMap<>();
   private long sequence;
 
   /**
@@ -43,25 +63,35 @@
    * @param loop event loop of the node
    * @param ownAddress address to bind
    * @param node name of this node
+   * @param zone availability zone of this node
    * @param incarnation number of this start of the node
+   * @param assignment the runners and stores whose changes this node reads for its peers
    * @param state source of the reports sent, and receiver of the others'
    */
   public PeerGossip(
-      EventLoop loop, Endpoint ownAddress, String node, long incarnation, RelayState state) {
+      EventLoop loop,
+      Endpoint ownAddress,
+      String node,
+      String zone,
+      long incarnation,
+      HolderAssignment assignment,
+      RelayState state) {
     this.state = state;
+    this.assignment = assignment;
     this.node = node;
+    this.zone = zone;
     this.incarnation = incarnation;
     this.ownAddress = ownAddress;
     channel =
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
-            .handler(new ReportReceiver())
+            .handler(new DatagramReceiver())
             .bind(ownAddress.host(), ownAddress.port())
             .syncUninterruptibly()
             .channel();
-    loop.scheduleWithFixedDelay(
-        this::sendReports, INTERVAL.toMillis(), INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    long millis = PeerSchedule.TICK.toMillis();
+    loop.scheduleWithFixedDelay(this::onTick, millis, millis, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -70,26 +100,72 @@
    */
   public void addPeer(String name, Endpoint endpoint) {
     if (!endpoint.equals(ownAddress)) {
-      peers.values().removeIf(endpoint::equals);
-      peers.put(name, endpoint);
+      var address = new InetSocketAddress(endpoint.host(), endpoint.port());
+      peers.values().removeIf(peer -> peer.address.equals(address));
+      peers.put(name, new Peer(address, state.partChanges().nextSequence()));
     }
   }
 
-  private void sendReports() {
-    if (peers.isEmpty()) {
+  private void onTick() {
+    Instant now = state.now();
+    state.peers().removeGone(now);
+    List<Peer> due = PeerSchedule.due(List.copyOf(peers.values()), sequence);
+    sequence++;
+    if (due.isEmpty()) {
       return;
     }
-    sequence++;
-    byte[] bytes = PeerReportCodec.encode(buildReport());
-    for (Endpoint peer : peers.values()) {
-      channel.write(
-          new DatagramPacket(
-              Unpooled.wrappedBuffer(bytes), new InetSocketAddress(peer.host(), peer.port())));
+    Map<Long, List<byte[]>> changesFrom = new HashMap<>();
+    byte[] report = PeerDatagramCodec.encode(new PeerDatagram.Report(buildReport(now)));
+    for (Peer peer : due) {
+      changesFrom
+          .computeIfAbsent(peer.nextChange, this::encodeChanges)
+          .forEach(bytes -> send(bytes, peer.address));
+      peer.nextChange = state.partChanges().nextSequence();
+      send(report, peer.address);
     }
     channel.flush();
   }
 
-  private PeerReport buildReport() {
+  /** Returns no datagram if the changes are not kept any more; the peer will ask for a snapshot. */
+  private List<byte[]> encodeChanges(long from) {
+    List<byte[]> datagrams = new ArrayList<>();
+    List<PartChange> changes = state.partChanges().since(from).orElse(List.of());
+    for (int i = 0; i < changes.size(); i += MAX_CHANGES_PER_DATAGRAM) {
+      List<PartChange> slice =
+          changes.subList(i, Math.min(changes.size(), i + MAX_CHANGES_PER_DATAGRAM));
+      datagrams.add(
+          PeerDatagramCodec.encode(
+              new PeerDatagram.Changes(node, new PartFeed.Changes(incarnation, from + i, slice))));
+    }
+    return datagrams;
+  }
+
+  private List<byte[]> encodeSnapshot() {
+    List<PartChange> contents = new ArrayList<>();
+    for (Endpoint holder : assignment.recentReads(state.now()).keySet()) {
+      contents.addAll(state.parts().contents(holder));
+    }
+    long next = state.partChanges().nextSequence();
+    int count = Math.max(1, Math.ceilDiv(contents.size(), MAX_CHANGES_PER_DATAGRAM));
+    List<byte[]> datagrams = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      int start = i * MAX_CHANGES_PER_DATAGRAM;
+      List<PartChange> slice =
+          contents.subList(start, Math.min(contents.size(), start + MAX_CHANGES_PER_DATAGRAM));
+      datagrams.add(
+          PeerDatagramCodec.encode(
+              new PeerDatagram.Snapshot(
+                  node, new PartFeed.Snapshot(incarnation, next, i, count, slice))));
+    }
+    return datagrams;
+  }
+
+  private void send(byte[] bytes, InetSocketAddress address) {
+    state.metrics().count("peers.datagrams");
+    channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
+  }
+
+  private PeerReport buildReport(Instant now) {
     Map<String, PeerReport.Load> loads = new HashMap<>();
     Set<String> changing = new HashSet<>();
     Map<String, Long> weights = new HashMap<>();
@@ -102,17 +178,69 @@
       if (runner.isChangingWeights()) {
         changing.add(runner.id());
       }
-      runner.singleModelWeightVersion().ifPresent(version -> weights.put(runner.id(), version));
+      runner
+          .singleModelWeightVersion()
+          .filter(version -> !runner.info().weightVersions().containsValue(version))
+          .ifPresent(version -> weights.put(runner.id(), version));
     }
     return new PeerReport(
         node,
+        zone,
         incarnation,
         sequence,
         state.isLogReachable(),
         state.isStopping(),
         loads,
         changing,
-        weights);
+        weights,
+        state.announcedWeights().recent(MAX_ANNOUNCEMENT_AGE, now),
+        assignment.recentReads(now),
+        state.partChanges().nextSequence(),
+        state.runnerClockMillis());
+  }
+
+  private void onDatagram(PeerDatagram datagram, Peer sender) {
+    switch (datagram) {
+      case PeerDatagram.Report report -> onReport(report.report(), sender);
+      case PeerDatagram.Changes changes ->
+          feed(changes.node()).accept(changes.changes()).forEach(state.parts()::apply);
+      case PeerDatagram.Snapshot snapshot ->
+          feed(snapshot.node()).accept(snapshot.snapshot()).forEach(state.parts()::apply);
+      case PeerDatagram.Resend resend -> onResend(resend.from(), sender);
+    }
+  }
+
+  private void onReport(PeerReport report, Peer sender) {
+    Instant now = state.now();
+    state.recordPeerReport(report);
+    feed(report.node())
+        .missingFrom(report.incarnation(), report.nextPartChange(), now)
+        .ifPresent(
+            from -> {
+              state.metrics().count("peers.changes_missed");
+              send(PeerDatagramCodec.encode(new PeerDatagram.Resend(node, from)), sender.address);
+              channel.flush();
+            });
+    report
+        .holderReports()
+        .forEach(
+            (holder, age) -> {
+              assignment.recordReport(holder, now.minus(age));
+              state.parts().markFresh(holder, now.minus(age));
+            });
+  }
+
+  private void onResend(long from, Peer sender) {
+    boolean isRecent =
+        from != PartFeed.SNAPSHOT
+            && state.partChanges().nextSequence() - from <= MAX_RESENT_CHANGES;
+    List<byte[]> datagrams = isRecent ? encodeChanges(from) : encodeSnapshot();
+    datagrams.forEach(bytes -> send(bytes, sender.address));
+    channel.flush();
+  }
+
+  private PartFeed feed(String peer) {
+    return feeds.computeIfAbsent(peer, any -> new PartFeed());
   }
 
   @Override
@@ -120,11 +248,28 @@
     channel.close();
   }
 
-  private final class ReportReceiver extends SimpleChannelInboundHandler<DatagramPacket> {
+  private static final class Peer {
+    private final InetSocketAddress address;
+    private long nextChange;
+
+    Peer(InetSocketAddress address, long nextChange) {
+      this.address = address;
+      this.nextChange = nextChange;
+    }
+  }
+
+  /** Accepts datagrams from the addresses of registered nodes only. */
+  private final class DatagramReceiver extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-      PeerReportCodec.decode(ByteBufUtil.getBytes(packet.content()))
-          .peek(state::recordPeerReport)
+      Optional<Peer> sender =
+          peers.values().stream().filter(p -> p.address.equals(packet.sender())).findFirst();
+      if (sender.isEmpty()) {
+        state.metrics().count("peers.unknown_sender");
+        return;
+      }
+      PeerDatagramCodec.decode(ByteBufUtil.getBytes(packet.content()))
+          .peek(datagram -> onDatagram(datagram, sender.get()))
           .peekLeft(
               error -> state.log().info("peer_unreadable", event -> event.with("error", error)));
     }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -11,6 +11,8 @@
 import org.dragonflyhill.core.relay.AnnouncedWeights;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.Organisation;
+import org.dragonflyhill.core.relay.PartChange;
+import org.dragonflyhill.core.relay.PartChangeLog;
 import org.dragonflyhill.core.relay.PartDirectory;
 import org.dragonflyhill.core.relay.PartPlacement;
 import org.dragonflyhill.core.relay.PeerReport;
@@ -45,6 +47,7 @@
   private SharedRetryBudget.Limits retryLimits;
   private final RunnerTable runners = new RunnerTable();
   private final PartDirectory parts = new PartDirectory();
+  private final PartChangeLog partChanges = new PartChangeLog();
   private final PeerTable peers = new PeerTable();
   private final PartPlacement partPlacement = new PartPlacement(parts);
   private final RunnerSelector runnerSelector;
@@ -97,6 +100,17 @@
     return parts;
   }
 
+  /** Records a change that this node has read from a runner or store, also for its peers. */
+  public void recordPartChange(PartChange change) {
+    parts.apply(change);
+    partChanges.append(change);
+  }
+
+  /** Returns the latest changes that this node has read. */
+  PartChangeLog partChanges() {
+    return partChanges;
+  }
+
   /** Returns the load that the other nodes report. */
   public PeerTable peers() {
     return peers;
@@ -112,6 +126,13 @@
                 runners
                     .find(id)
                     .ifPresent(runner -> runner.observeSingleModelWeightVersion(version)));
+    report
+        .announcedWeights()
+        .forEach(
+            (model, versions) ->
+                versions.forEach(
+                    (version, age) -> announcedWeights.announce(model, version, now().minus(age))));
+    report.runnerClockMillis().ifPresent(this::recordRunnerClock);
   }
 
   /** Returns whether the log service is reachable. */
--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -0,0 +1,109 @@
+package org.dragonflyhill.daemon.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.PartChange;
+import org.dragonflyhill.core.relay.PartFeed;
+import org.dragonflyhill.core.relay.PeerReport;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests the encoding of the datagrams that nodes exchange. */
+public final class PeerDatagramCodecTest {
+
+  private static final int FRAME_BYTES = 1_200;
+  private static final Endpoint RUNNER = new Endpoint("10.0.0.1", 8_080);
+  private static final List<PartChange> CHANGES =
+      List.of(
+          new PartChange.Cleared(RUNNER),
+          new PartChange.Stored(RUNNER, "m@1", "5c1e07a2", 800),
+          new PartChange.Stored(new Endpoint("10.0.0.2", 8_080), "m@2#granja", "91bd3f06", 0));
+
+  private static final PeerReport REPORT =
+      new PeerReport(
+          "front-1",
+          "z1",
+          17,
+          4,
+          true,
+          false,
+          Map.of("r1", new PeerReport.Load(3, List.of(0L, 12_000L), List.of(500L, 0L, 9L))),
+          Set.of("r2"),
+          Map.of("r1", 2L),
+          Map.of("m", Map.of(2L, Duration.ofMillis(1_500))),
+          Map.of(RUNNER, Duration.ofMillis(90)),
+          77,
+          OptionalLong.of(123_456));
+
+  /** One datagram of each kind. */
+  @DataProvider
+  public Object[][] datagrams() {
+    return new Object[][] {
+      {new PeerDatagram.Report(REPORT)},
+      {new PeerDatagram.Changes("front-1", new PartFeed.Changes(17, 70, CHANGES))},
+      {new PeerDatagram.Snapshot("front-1", new PartFeed.Snapshot(17, 77, 0, 2, CHANGES))},
+      {new PeerDatagram.Resend("front-1", PartFeed.SNAPSHOT)},
+    };
+  }
+
+  @Test(dataProvider = "datagrams")
+  public void decodesWhatWasEncoded(PeerDatagram datagram) {
+    assertEquals(PeerDatagramCodec.decode(PeerDatagramCodec.encode(datagram)).get(), datagram);
+  }
+
+  /** A full list of changes fits into one frame of the network. */
+  @Test
+  public void changesFitIntoOneFrame() {
+    List<PartChange> changes = new ArrayList<>();
+    for (int i = 0; i < PeerGossip.MAX_CHANGES_PER_DATAGRAM; i++) {
+      Endpoint holder = new Endpoint("10.250.64." + (i % 8), 18_080);
+      String part = String.format("%08x", i * 0x9E3779B9);
+      changes.add(new PartChange.Stored(holder, "daka510000@" + i % 3, part, 9_000));
+    }
+    var datagram =
+        new PeerDatagram.Changes(
+            "front-san-fernando-1", new PartFeed.Changes(1L << 41, 1, changes));
+    int length = PeerDatagramCodec.encode(datagram).length;
+    assertTrue(length <= FRAME_BYTES, "length " + length);
+  }
+
+  /** Datagrams of nodes that run an older or newer version are rejected, not misread. */
+  @Test(dataProvider = "datagrams")
+  public void refusesOtherSchema(PeerDatagram datagram) {
+    byte[] bytes = PeerDatagramCodec.encode(datagram);
+    bytes[0]++;
+    assertTrue(PeerDatagramCodec.decode(bytes).getLeft().startsWith("schema "));
+  }
+
+  /** A truncated datagram is rejected, whatever its length. */
+  @Test(dataProvider = "datagrams")
+  public void refusesTruncatedDatagram(PeerDatagram datagram) {
+    byte[] bytes = PeerDatagramCodec.encode(datagram);
+    for (int length = 0; length < bytes.length; length++) {
+      assertTrue(PeerDatagramCodec.decode(Arrays.copyOf(bytes, length)).isLeft(), "at " + length);
+    }
+  }
+
+  /** Decoding corrupted bytes returns an error or a datagram, but never throws an exception. */
+  @Test(dataProvider = "datagrams")
+  public void decodesCorruptedDatagramWithoutException(PeerDatagram datagram) {
+    Random random = new Random(1);
+    for (int i = 0; i < 20_000; i++) {
+      byte[] bytes = PeerDatagramCodec.encode(datagram);
+      for (int flips = 1 + random.nextInt(4); flips > 0; flips--) {
+        bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+      }
+      PeerDatagramCodec.decode(bytes);
+    }
+  }
+}
