Share the reads of the platform's topics, and pass part changes on in order and at once

(2) Of the shared cache events: datagrams of one moment overtake each other on the network, and a later one was ignored until the next request for it, up to 0.5 s; reports came before the changes that they named; changes waited for the next report.

Change: (1) one node for each group of 20, by rendezvous hashing, reads a topic and reports how far, with the host list's records that say something new; the others rely on that for 0.9 s and read for themselves when reports are missing, too old or ahead of them. The last holder of the lease reads for itself. (2) Early changes wait for the ones before, a gap counts as a loss after 40 ms, changes go out every 30 ms, and a node tells the others at once to which runner it sent a new history, so that it is not prefilled twice; polls pause for 60 ms instead of 200.

Tests: SharedTopicTest (reader dead or frozen, behind, gap, bounds, number of readers), KeyedTopicFollowerTest.readsOnlyWhatPeersDoNotPassOn and stopsReadingWhenPeersConfirm (failed first: a node that had begun to read never stopped), PartFeedTest.putsOvertakingChangesInOrder, RunnerSelectorTest.followsPeersToTheRunnerThatPrefillsTheHistory.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PartChange.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartChange.java
@@ -25,4 +25,13 @@
    * @param tokens number of tokens, 0 if the part was evicted
    */
   record Stored(Endpoint holder, String salt, String part, int tokens) implements PartChange {}
+
+  /**
+   * The holder, a runner, was sent a request for which it will prefill or fetch a part.
+   *
+   * @param holder the runner
+   * @param salt salt of the part
+   * @param part id of the part
+   */
+  record Expected(Endpoint holder, String salt, String part) implements PartChange {}
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/PartFeed.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartFeed.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 
 /**
- * This node's position in the part changes of one peer. Changes are applied in order, so what is
- * lost on the way has to be sent again before later changes count.
+ * This node's position in the part changes of one peer. Changes are applied in order: those that
+ * arrive early wait for the ones before, and what was lost on the way is requested again.
  *
  * <p>Not thread-safe; no argument may be null.
  */
@@ -19,13 +21,22 @@
   /** Minimum time between two requests for missing changes. */
   public static final Duration REQUEST_INTERVAL = Duration.ofMillis(400);
 
+  /** Time for which a gap may stay before it is taken for a loss and not for a change of order. */
+  public static final Duration REORDERING_TIME = Duration.ofMillis(40);
+
+  /** Maximum number of messages that wait for the ones before them. */
+  private static final int MAX_EARLY_MESSAGES = 64;
+
   private static final long NO_INCARNATION = -1;
 
   private long incarnation = NO_INCARNATION;
   private long next = SNAPSHOT;
   private long snapshotSequence = SNAPSHOT;
   private int nextSnapshotIndex;
-  private Instant requestedAt = Instant.MIN;
+  private Instant requestedAt = Instant.EPOCH;
+  private final TreeMap<Long, Changes> early = new TreeMap<>();
+  private long gapAt = SNAPSHOT;
+  private Instant gapSince = Instant.EPOCH;
 
   /** Returns the changes of a message that are to be applied now, in order. */
   public List<PartChange> accept(Changes message) {
@@ -33,8 +44,28 @@
     if (next == SNAPSHOT && message.first() == 0) {
       next = 0;
     }
+    if (next == SNAPSHOT || message.first() > next) {
+      if (early.size() < MAX_EARLY_MESSAGES) {
+        early.put(message.first(), message);
+      }
+      return List.of();
+    }
+    List<PartChange> applicable = new ArrayList<>(advance(message));
+    applicable.addAll(advanceThroughEarly());
+    return applicable;
+  }
+
+  private List<PartChange> advanceThroughEarly() {
+    List<PartChange> applicable = new ArrayList<>();
+    while (!early.isEmpty() && early.firstKey() <= next) {
+      applicable.addAll(advance(early.pollFirstEntry().getValue()));
+    }
+    return applicable;
+  }
+
+  private List<PartChange> advance(Changes message) {
     long known = next - message.first();
-    if (next == SNAPSHOT || known < 0 || known >= message.changes().size()) {
+    if (known >= message.changes().size()) {
       return List.of();
     }
     next = message.first() + message.changes().size();
@@ -58,10 +89,13 @@
       return List.of();
     }
     nextSnapshotIndex++;
-    if (nextSnapshotIndex == message.count()) {
-      next = snapshotSequence;
+    if (nextSnapshotIndex < message.count()) {
+      return message.changes();
     }
-    return message.changes();
+    next = snapshotSequence;
+    List<PartChange> applicable = new ArrayList<>(message.changes());
+    applicable.addAll(advanceThroughEarly());
+    return applicable;
   }
 
   /**
@@ -77,8 +111,17 @@
     if (next == SNAPSHOT && peerNext == 0) {
       next = 0;
     }
+    if (next >= peerNext) {
+      gapAt = SNAPSHOT;
+      return OptionalLong.empty();
+    }
+    if (next != gapAt) {
+      gapAt = next;
+      gapSince = now;
+    }
+    boolean mayBeReordered = next != SNAPSHOT && now.isBefore(gapSince.plus(REORDERING_TIME));
     boolean isRequested = now.isBefore(requestedAt.plus(REQUEST_INTERVAL));
-    if (next >= peerNext || isRequested) {
+    if (mayBeReordered || isRequested) {
       return OptionalLong.empty();
     }
     requestedAt = now;
@@ -91,6 +134,8 @@
       next = SNAPSHOT;
       snapshotSequence = SNAPSHOT;
       requestedAt = Instant.EPOCH;
+      early.clear();
+      gapAt = SNAPSHOT;
     }
   }
 
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
@@ -22,6 +22,7 @@
  * @param announcedWeights ages of the weight versions announced lately, by model and version
  * @param holderReports age of the newest cache event of each runner and store that the node reads
  * @param nextPartChange sequence number that the node's next part change will have
+ * @param topics how far the node has read the topics that it reads for its peers
  * @param runnerClockMillis the runners' clock at the time of the report, empty if unknown
  */
 public record PeerReport(
@@ -37,6 +38,7 @@
     Map<String, Map<Long, Duration>> announcedWeights,
     Map<Endpoint, Duration> holderReports,
     long nextPartChange,
+    List<TopicProgress> topics,
     OptionalLong runnerClockMillis) {
 
   /** Creates a report with copies of the collections. */
@@ -46,6 +48,7 @@
     weightVersions = Map.copyOf(weightVersions);
     announcedWeights = Map.copyOf(announcedWeights);
     holderReports = Map.copyOf(holderReports);
+    topics = List.copyOf(topics);
   }
 
   /**
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerSchedule.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerSchedule.java
@@ -11,9 +11,15 @@
  */
 public final class PeerSchedule {
 
-  /** Time between two ticks. */
+  /** Time between two ticks at which reports are sent. */
   public static final Duration TICK = Duration.ofMillis(150);
 
+  /**
+   * Time between two ticks at which part changes are sent, if there are any. Until a node knows
+   * where a prompt is being prefilled, it may have it prefilled once more elsewhere.
+   */
+  public static final Duration CHANGES_TICK = Duration.ofMillis(30);
+
   /** Maximum number of peers that get a report at a tick. */
   public static final int MAX_REPORTS_PER_TICK = 20;
 
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -51,6 +51,13 @@
         .toList();
   }
 
+  /** Returns the names of the live peers that can reach the log service. */
+  public List<String> peersWithLog(Instant now) {
+    return peers.keySet().stream()
+        .filter(node -> isActive(node, peers.get(node).report().incarnation(), now))
+        .toList();
+  }
+
   /** Removes the peers that have not reported for so long that they count as gone. */
   public void removeGone(Instant now) {
     peers.values().removeIf(latest -> !isWithin(latest.receivedAt(), MEMBER_MAX_AGE, now));
--- a/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.core.relay;
 
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -38,6 +39,7 @@
         Map.of(),
         Map.of(),
         0,
+        List.of(),
         OptionalLong.empty());
   }
 }
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
@@ -133,6 +133,30 @@
     assertEquals(peers.running("r1", later), 0);
   }
 
+  /**
+   * Several nodes get requests with the same new history at once: those that hear where it is being
+   * prefilled send theirs there, before the runner itself reports it.
+   */
+  @Test
+  public void followsPeersToTheRunnerThatPrefillsTheHistory() {
+    List<Runner> runners = List.of(runner("r1", 1), runner("r2", 2), runner("r3", 3));
+    PartDirectory ofPeer = new PartDirectory();
+    Endpoint chosen = runners.get(2).info().endpoint();
+    var changes = ofPeer.expect(chosen, SALT, HISTORY.sharedParts(), NOW);
+    assertEquals(changes.size(), 2);
+    assertEquals(ofPeer.expect(chosen, SALT, HISTORY.sharedParts(), NOW), List.of());
+    changes.forEach(change -> directory.apply(change, NOW));
+    for (int i = 0; i < 20; i++) {
+      var selection =
+          selector.selectForPrompt(request("key" + i), runners, List.of(), NOW).orElseThrow();
+      assertEquals(selection.runner().id(), "r3");
+      assertEquals(selection.prefillTokens(), 2_888);
+    }
+    Instant later = NOW.plus(PartDirectory.EXPECTATION_TTL);
+    var selection = selector.selectForPrompt(request("k"), runners, List.of(), later).orElseThrow();
+    assertEquals(selection.prefillTokens(), 12_000);
+  }
+
   /** An expected part has a fetch source too, since the runner may have evicted it. */
   @Test
   public void fetchesExpectedPartsToo() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -16,6 +16,7 @@
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.TopicProgress;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -36,6 +37,12 @@
   /** Number of tokens that stands for a cleared holder. */
   private static final int CLEARED = -1;
 
+  /** Number of tokens that stands for an expected part. */
+  private static final int EXPECTED = -2;
+
+  /** Maximum length of a record's value, which a datagram cannot exceed. */
+  private static final int MAX_RECORD_BYTES = 65_536;
+
   /** Maximum number of ranks in a list; more would be a corrupt datagram. */
   private static final int MAX_RANKS = 64;
 
@@ -132,6 +139,10 @@
       packer.packLong(holder.getValue().toMillis());
     }
     packer.packLong(report.nextPartChange());
+    packer.packArrayHeader(report.topics().size());
+    for (TopicProgress progress : report.topics()) {
+      packTopic(progress, packer);
+    }
     packer.packBoolean(report.runnerClockMillis().isPresent());
     packer.packLong(report.runnerClockMillis().orElse(0));
   }
@@ -171,6 +182,10 @@
       holders.put(unpackEndpoint(unpacker), Duration.ofMillis(unpacker.unpackLong()));
     }
     final long nextPartChange = unpacker.unpackLong();
+    List<TopicProgress> topics = new ArrayList<>();
+    for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+      topics.add(unpackTopic(unpacker));
+    }
     final boolean hasClock = unpacker.unpackBoolean();
     final long clock = unpacker.unpackLong();
     return new PeerReport(
@@ -186,9 +201,37 @@
         announced,
         holders,
         nextPartChange,
+        topics,
         hasClock ? OptionalLong.of(clock) : OptionalLong.empty());
   }
 
+  private static void packTopic(TopicProgress progress, MessagePacker packer) throws IOException {
+    packer.packString(progress.topic()).packLong(progress.from()).packLong(progress.through());
+    packer.packLong(progress.age().toMillis()).packArrayHeader(progress.records().size());
+    for (TopicProgress.Entry entry : progress.records()) {
+      packer.packLong(entry.offset()).packString(entry.key());
+      packer.packBinaryHeader(entry.value().length).writePayload(entry.value());
+    }
+  }
+
+  private static TopicProgress unpackTopic(MessageUnpacker unpacker) throws IOException {
+    final String topic = unpacker.unpackString();
+    final long from = unpacker.unpackLong();
+    final long through = unpacker.unpackLong();
+    final Duration age = Duration.ofMillis(unpacker.unpackLong());
+    List<TopicProgress.Entry> records = new ArrayList<>();
+    for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+      long offset = unpacker.unpackLong();
+      String key = unpacker.unpackString();
+      int length = unpacker.unpackBinaryHeader();
+      if (length > MAX_RECORD_BYTES) {
+        throw new IOException("record of " + length + " bytes");
+      }
+      records.add(new TopicProgress.Entry(offset, key, unpacker.readPayload(length)));
+    }
+    return new TopicProgress(topic, from, through, age, records);
+  }
+
   /** Packs changes with a table of holders and one of salts, since both recur in most changes. */
   private static void packChanges(List<PartChange> changes, MessagePacker packer)
       throws IOException {
@@ -196,8 +239,12 @@
     Map<String, Integer> salts = new LinkedHashMap<>();
     for (PartChange change : changes) {
       holders.putIfAbsent(change.holder(), holders.size());
-      if (change instanceof PartChange.Stored stored) {
-        salts.putIfAbsent(stored.salt(), salts.size());
+      switch (change) {
+        case PartChange.Cleared cleared -> {
+          // It names no part.
+        }
+        case PartChange.Stored stored -> salts.putIfAbsent(stored.salt(), salts.size());
+        case PartChange.Expected expected -> salts.putIfAbsent(expected.salt(), salts.size());
       }
     }
     packer.packArrayHeader(holders.size());
@@ -218,6 +265,11 @@
                 .packInt(stored.tokens())
                 .packInt(salts.get(stored.salt()))
                 .packString(stored.part());
+        case PartChange.Expected expected ->
+            packer
+                .packInt(EXPECTED)
+                .packInt(salts.get(expected.salt()))
+                .packString(expected.part());
       }
     }
   }
@@ -235,11 +287,16 @@
     for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
       Endpoint holder = holders.get(unpacker.unpackInt());
       int tokens = unpacker.unpackInt();
+      if (tokens == CLEARED) {
+        changes.add(new PartChange.Cleared(holder));
+        continue;
+      }
+      String salt = salts.get(unpacker.unpackInt());
+      String part = unpacker.unpackString();
       changes.add(
-          tokens == CLEARED
-              ? new PartChange.Cleared(holder)
-              : new PartChange.Stored(
-                  holder, salts.get(unpacker.unpackInt()), unpacker.unpackString(), tokens));
+          tokens == EXPECTED
+              ? new PartChange.Expected(holder, salt, part)
+              : new PartChange.Stored(holder, salt, part, tokens));
     }
     return changes;
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -56,6 +56,7 @@
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<String, PartFeed> feeds = new HashMap<>();
   private long sequence;
+  private long changesTick;
 
   /**
    * Binds the socket and starts to send reports.
@@ -90,8 +91,13 @@
             .bind(ownAddress.host(), ownAddress.port())
             .syncUninterruptibly()
             .channel();
-    long millis = PeerSchedule.TICK.toMillis();
-    loop.scheduleWithFixedDelay(this::onTick, millis, millis, TimeUnit.MILLISECONDS);
+    schedule(loop, PeerSchedule.TICK, this::sendReports);
+    schedule(loop, PeerSchedule.CHANGES_TICK, this::sendChanges);
+  }
+
+  private static void schedule(EventLoop loop, Duration interval, Runnable task) {
+    loop.scheduleWithFixedDelay(
+        task, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -106,7 +112,27 @@
     }
   }
 
-  private void onTick() {
+  /** Sends part changes to the peers that are due and have not got them yet. */
+  private void sendChanges() {
+    changesTick++;
+    sendChanges(PeerSchedule.due(List.copyOf(peers.values()), changesTick));
+    channel.flush();
+  }
+
+  private void sendChanges(List<Peer> due) {
+    Map<Long, List<byte[]>> changesFrom = new HashMap<>();
+    long next = state.partChanges().nextSequence();
+    for (Peer peer : due) {
+      if (peer.nextChange < next) {
+        changesFrom
+            .computeIfAbsent(peer.nextChange, this::encodeChanges)
+            .forEach(bytes -> send(bytes, peer.address));
+        peer.nextChange = next;
+      }
+    }
+  }
+
+  private void sendReports() {
     Instant now = state.now();
     state.peers().removeGone(now);
     List<Peer> due = PeerSchedule.due(List.copyOf(peers.values()), sequence);
@@ -114,15 +140,10 @@
     if (due.isEmpty()) {
       return;
     }
-    Map<Long, List<byte[]>> changesFrom = new HashMap<>();
+    // A report names the next change, so the ones before go first.
+    sendChanges(due);
     byte[] report = PeerDatagramCodec.encode(new PeerDatagram.Report(buildReport(now)));
-    for (Peer peer : due) {
-      changesFrom
-          .computeIfAbsent(peer.nextChange, this::encodeChanges)
-          .forEach(bytes -> send(bytes, peer.address));
-      peer.nextChange = state.partChanges().nextSequence();
-      send(report, peer.address);
-    }
+    due.forEach(peer -> send(report, peer.address));
     channel.flush();
   }
 
@@ -196,6 +217,7 @@
         state.announcedWeights().recent(MAX_ANNOUNCEMENT_AGE, now),
         assignment.recentReads(now),
         state.partChanges().nextSequence(),
+        state.sharedTopics().progress(now),
         state.runnerClockMillis());
   }
 
@@ -203,13 +225,17 @@
     switch (datagram) {
       case PeerDatagram.Report report -> onReport(report.report(), sender);
       case PeerDatagram.Changes changes ->
-          feed(changes.node()).accept(changes.changes()).forEach(state.parts()::apply);
+          feed(changes.node()).accept(changes.changes()).forEach(this::apply);
       case PeerDatagram.Snapshot snapshot ->
-          feed(snapshot.node()).accept(snapshot.snapshot()).forEach(state.parts()::apply);
+          feed(snapshot.node()).accept(snapshot.snapshot()).forEach(this::apply);
       case PeerDatagram.Resend resend -> onResend(resend.from(), sender);
     }
   }
 
+  private void apply(PartChange change) {
+    state.parts().apply(change, state.now());
+  }
+
   private void onReport(PeerReport report, Peer sender) {
     Instant now = state.now();
     state.recordPeerReport(report);
@@ -221,6 +247,7 @@
               send(PeerDatagramCodec.encode(new PeerDatagram.Resend(node, from)), sender.address);
               channel.flush();
             });
+    report.topics().forEach(state.sharedTopics()::onProgress);
     report
         .holderReports()
         .forEach(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -48,6 +48,7 @@
   private final RunnerTable runners = new RunnerTable();
   private final PartDirectory parts = new PartDirectory();
   private final PartChangeLog partChanges = new PartChangeLog();
+  private final SharedTopics sharedTopics = new SharedTopics();
   private final PeerTable peers = new PeerTable();
   private final PartPlacement partPlacement = new PartPlacement(parts);
   private final RunnerSelector runnerSelector;
@@ -57,6 +58,7 @@
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
   private boolean isLogReachable;
+  private boolean needsOwnReads;
   private long runnerClockOffsetMillis = Long.MIN_VALUE;
 
   /** Creates a state without configuration and runners. */
@@ -102,10 +104,20 @@
 
   /** Records a change that this node has read from a runner or store, also for its peers. */
   public void recordPartChange(PartChange change) {
-    parts.apply(change);
+    parts.apply(change, now());
     partChanges.append(change);
   }
 
+  /** Records that a runner was sent a request with these parts, also for the peers. */
+  void expectParts(Endpoint runner, String salt, List<Prompt.Part> shared) {
+    parts.expect(runner, salt, shared, now()).forEach(partChanges::append);
+  }
+
+  /** Returns the topics of the log service that nodes read for each other. */
+  public SharedTopics sharedTopics() {
+    return sharedTopics;
+  }
+
   /** Returns the latest changes that this node has read. */
   PartChangeLog partChanges() {
     return partChanges;
@@ -140,6 +152,16 @@
     return isLogReachable;
   }
 
+  /** Returns whether this node must read the log itself, since it acts on what it says. */
+  public boolean needsOwnReads() {
+    return needsOwnReads;
+  }
+
+  /** Sets whether this node must read the log itself. */
+  void setNeedsOwnReads(boolean isNeeded) {
+    needsOwnReads = isNeeded;
+  }
+
   /** Records whether the log service is reachable. */
   public void setLogReachable(boolean isReachable) {
     isLogReachable = isReachable;
@@ -243,8 +265,12 @@
     return weightsDeadline;
   }
 
-  /** Adds a runner of the host list or updates its entry. */
-  public void addOrUpdateRunner(RunnerInfo info) {
+  /**
+   * Adds a runner of the host list or updates its entry. Returns whether the entry differs from the
+   * one before.
+   */
+  public boolean addOrUpdateRunner(RunnerInfo info) {
+    final Optional<RunnerInfo> before = runners.find(info.id()).map(Runner::info);
     boolean wasAvailable = runners.find(info.id()).map(Runner::isAvailable).orElse(false);
     boolean isNew = runners.put(info, now());
     if (isNew) {
@@ -261,6 +287,7 @@
                   .with("draining", info.isDraining())
                   .with("weights", info.weightVersions()));
     }
+    return !before.equals(Optional.of(info));
   }
 
   /** Logs runners that were removed, and drops pending saves of parts that have expired. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -125,6 +125,7 @@
             state.runners().all(),
             state.announcedWeights(),
             runner -> runner.running() + state.peers().running(runner.id(), now));
+    state.setNeedsOwnReads(lease.lastHolder().filter(holder::equals).isPresent());
     // A draining runner gets no orders, but its running requests may still read old parts.
     inUse.observe(state.runners().all(), now);
     freeReplacedParts(now);
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -15,6 +15,7 @@
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.TopicProgress;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -26,6 +27,7 @@
   private static final List<PartChange> CHANGES =
       List.of(
           new PartChange.Cleared(RUNNER),
+          new PartChange.Expected(RUNNER, "m@2", "e4402b7d"),
           new PartChange.Stored(RUNNER, "m@1", "5c1e07a2", 800),
           new PartChange.Stored(new Endpoint("10.0.0.2", 8_080), "m@2#granja", "91bd3f06", 0));
 
@@ -43,6 +45,13 @@
           Map.of("m", Map.of(2L, Duration.ofMillis(1_500))),
           Map.of(RUNNER, Duration.ofMillis(90)),
           77,
+          List.of(
+              new TopicProgress(
+                  "t",
+                  4,
+                  9,
+                  Duration.ofMillis(30),
+                  List.of(new TopicProgress.Entry(5, "k", new byte[] {1, 2})))),
           OptionalLong.of(123_456));
 
   /** One datagram of each kind. */
