Bound the part changes that a node sends by a number of peers per tick

Change: PeerSchedule has two schedules, reports (20 peers each 150 ms) and part changes (4 peers each 30 ms); both are 133 messages a second at most, whatever the number of nodes. Sites of 4 or 5 nodes send as before; with 38 nodes each hears of changes every 300 ms.

Test: PartFeedTest.messagesPerTickAreBounded, for both schedules. Not measured alone.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerSchedule.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerSchedule.java
@@ -5,47 +5,61 @@
 import java.util.List;
 
 /**
- * Decides which peers a node reports to at each tick. The number of reports per tick is bounded, so
- * the cost of a node does not grow with the number of nodes; with more peers than that, each gets a
- * report less often.
+ * Decides which peers a node sends to at each tick. The number of peers per tick is bounded, so the
+ * cost of a node does not grow with the number of nodes; with more peers than that, each hears from
+ * it less often.
  */
-public final class PeerSchedule {
+public enum PeerSchedule {
 
-  /** Time between two ticks at which reports are sent. */
-  public static final Duration TICK = Duration.ofMillis(150);
+  /** Reports of load. */
+  REPORTS(Duration.ofMillis(150), 20),
 
   /**
-   * Time between two ticks at which part changes are sent, if there are any. Until a node knows
-   * where a prompt is being prefilled, it may have it prefilled once more elsewhere.
+   * Part changes, if there are any. Until a node knows where a prompt is being prefilled, it may
+   * have it prefilled once more elsewhere.
    */
-  public static final Duration CHANGES_TICK = Duration.ofMillis(30);
+  PART_CHANGES(Duration.ofMillis(30), 4);
 
-  /** Maximum number of peers that get a report at a tick. */
-  public static final int MAX_REPORTS_PER_TICK = 20;
+  private final Duration tick;
+  private final int peersPerTick;
 
-  private PeerSchedule() {}
+  PeerSchedule(Duration tick, int peersPerTick) {
+    this.tick = tick;
+    this.peersPerTick = peersPerTick;
+  }
+
+  /** Returns the time between two ticks. */
+  public Duration tick() {
+    return tick;
+  }
+
+  /** Returns the maximum number of peers that a node sends to at a tick. */
+  public int peersPerTick() {
+    return peersPerTick;
+  }
 
   /**
-   * Returns the peers that get a report at a tick.
+   * Returns the peers that a node sends to at a tick.
    *
    * @param peers all peers, in an order that does not change from tick to tick
-   * @param tick number of the tick
+   * @param tickNumber number of the tick
    */
-  public static <T> List<T> due(List<T> peers, long tick) {
+  public <T> List<T> due(List<T> peers, long tickNumber) {
     int groups = groups(peers.size());
     List<T> due = new ArrayList<>();
-    for (int i = (int) Math.floorMod(tick, groups); i < peers.size(); i += groups) {
+    for (int i = (int) Math.floorMod(tickNumber, groups); i < peers.size(); i += groups) {
       due.add(peers.get(i));
     }
     return due;
   }
 
-  /** Returns the time between two reports to the same peer, for a number of peers. */
-  public static Duration period(int peers) {
-    return TICK.multipliedBy(groups(peers));
+  /** Returns the number of ticks between two messages to the same peer. */
+  public int groups(int peers) {
+    return Math.max(1, Math.ceilDiv(peers, peersPerTick));
   }
 
-  private static int groups(int peers) {
-    return Math.max(1, Math.ceilDiv(peers, MAX_REPORTS_PER_TICK));
+  /** Returns the time between two messages to the same peer. */
+  public Duration period(int peers) {
+    return tick.multipliedBy(groups(peers));
   }
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -65,7 +65,8 @@
 
   /** Returns a time limit, extended if reports are sent so seldom that it would be too short. */
   private Duration atLeast(Duration limit) {
-    Duration periods = PeerSchedule.period(peers.size()).multipliedBy(PERIODS_UNTIL_TIMEOUT);
+    Duration periods =
+        PeerSchedule.REPORTS.period(peers.size()).multipliedBy(PERIODS_UNTIL_TIMEOUT);
     return periods.compareTo(limit) > 0 ? periods : limit;
   }
 
--- a/core/src/main/java/org/dragonflyhill/core/relay/SharedTopic.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/SharedTopic.java
@@ -58,7 +58,7 @@
   public boolean isReader(String node, Collection<String> peers) {
     List<String> nodes = new ArrayList<>(peers);
     nodes.add(node);
-    long readers = PeerSchedule.period(peers.size()).dividedBy(PeerSchedule.TICK);
+    int readers = PeerSchedule.REPORTS.groups(peers.size());
     return RendezvousHash.rank(topic, nodes).stream().limit(readers).anyMatch(node::equals);
   }
 
--- a/core/src/test/java/org/dragonflyhill/core/relay/HolderAssignmentTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/HolderAssignmentTest.java
@@ -49,7 +49,7 @@
   }
 
   private Instant now() {
-    return START.plus(PeerSchedule.TICK.multipliedBy(tick));
+    return START.plus(PeerSchedule.REPORTS.tick().multipliedBy(tick));
   }
 
   private void run(int ticks) {
@@ -91,7 +91,7 @@
     for (Node node : nodes) {
       node.reading.forEach(each -> assertEquals(Node.zoneOf(each), node.zone));
     }
-    assertAllKnow(PeerSchedule.TICK);
+    assertAllKnow(PeerSchedule.REPORTS.tick());
   }
 
   /** At no time do all nodes read everything, also not while they do not know each other yet. */
@@ -114,7 +114,7 @@
     for (int i = 0; i < HOLDERS; i++) {
       assertEquals(readers(i), 1, "readers of holder " + i);
     }
-    assertAllKnow(PeerSchedule.TICK);
+    assertAllKnow(PeerSchedule.REPORTS.tick());
     nodes.get(0).isFrozen = false;
     run(SETTLED);
     for (int i = 0; i < HOLDERS; i++) {
@@ -129,7 +129,7 @@
     nodes.get(0).isFrozen = true;
     for (int i = 0; i < SETTLED; i++) {
       run(1);
-      assertAllKnow(HolderAssignment.TAKEOVER_TIMEOUT.plus(PeerSchedule.TICK));
+      assertAllKnow(HolderAssignment.TAKEOVER_TIMEOUT.plus(PeerSchedule.REPORTS.tick()));
     }
   }
 
@@ -142,7 +142,7 @@
     for (int i = 0; i < HOLDERS; i++) {
       assertEquals(readers(i), 1, "readers of holder " + i);
     }
-    assertAllKnow(PeerSchedule.TICK);
+    assertAllKnow(PeerSchedule.REPORTS.tick());
   }
 
   /**
--- a/core/src/test/java/org/dragonflyhill/core/relay/PartFeedTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/PartFeedTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -152,25 +153,28 @@
     }
   }
 
-  /** The interval between two reports follows the number of peers; the reports per tick do not. */
+  /** The time between two messages follows the number of peers; the messages per tick do not. */
   @Test
-  public void reportsPerTickAreBounded() {
-    for (int count : new int[] {1, 4, 20, 21, 37, 299}) {
-      List<Integer> peers = new ArrayList<>();
-      for (int i = 0; i < count; i++) {
-        peers.add(i);
-      }
-      long ticks = PeerSchedule.period(count).dividedBy(PeerSchedule.TICK);
-      List<Integer> reached = new ArrayList<>();
-      for (long tick = 100; tick < 100 + ticks; tick++) {
-        List<Integer> due = PeerSchedule.due(peers, tick);
-        assertTrue(due.size() <= PeerSchedule.MAX_REPORTS_PER_TICK, "due " + due.size());
-        reached.addAll(due);
+  public void messagesPerTickAreBounded() {
+    for (PeerSchedule schedule : PeerSchedule.values()) {
+      for (int count : new int[] {1, 4, 20, 21, 37, 299}) {
+        List<Integer> peers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+          peers.add(i);
+        }
+        List<Integer> reached = new ArrayList<>();
+        for (long tick = 100; tick < 100 + schedule.groups(count); tick++) {
+          List<Integer> due = schedule.due(peers, tick);
+          assertTrue(due.size() <= schedule.peersPerTick(), "due " + due.size());
+          reached.addAll(due);
+        }
+        assertEquals(reached.stream().sorted().toList(), peers, "each peer once");
       }
-      assertEquals(reached.stream().sorted().toList(), peers, "each peer once");
     }
-    assertEquals(PeerSchedule.period(4), PeerSchedule.TICK);
-    assertEquals(PeerSchedule.period(37), PeerSchedule.TICK.multipliedBy(2));
+    assertEquals(PeerSchedule.REPORTS.period(4), Duration.ofMillis(150));
+    assertEquals(PeerSchedule.REPORTS.period(37), Duration.ofMillis(300));
+    assertEquals(PeerSchedule.PART_CHANGES.period(4), Duration.ofMillis(30));
+    assertEquals(PeerSchedule.PART_CHANGES.period(37), Duration.ofMillis(300));
   }
 
   /** A load counts for four report periods, so that it does not vanish between two reports. */
@@ -182,7 +186,7 @@
           PeerReports.withLoads("n" + i, Map.of("r", new PeerReport.Load(1, List.of(), List.of()))),
           NOW);
     }
-    Instant nextReport = NOW.plus(PeerSchedule.period(299));
+    Instant nextReport = NOW.plus(PeerSchedule.REPORTS.period(299));
     assertEquals(peers.running("r", nextReport), 299);
     assertEquals(peers.livePeers(nextReport).size(), 299);
     assertEquals(peers.running("r", NOW.plusSeconds(10)), 0);
--- a/core/src/test/java/org/dragonflyhill/core/relay/SharedTopicTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/SharedTopicTest.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -128,8 +127,7 @@
                       topic.isReader(
                           node, nodes.stream().filter(other -> !other.equals(node)).toList()))
               .count();
-      Duration period = PeerSchedule.period(count - 1);
-      assertEquals(readers, period.dividedBy(PeerSchedule.TICK), "of " + count);
+      assertEquals(readers, PeerSchedule.REPORTS.groups(count - 1), "of " + count);
     }
     assertTrue(new SharedTopic("t").isReader("alone", List.of()));
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -91,8 +91,8 @@
             .bind(ownAddress.host(), ownAddress.port())
             .syncUninterruptibly()
             .channel();
-    schedule(loop, PeerSchedule.TICK, this::sendReports);
-    schedule(loop, PeerSchedule.CHANGES_TICK, this::sendChanges);
+    schedule(loop, PeerSchedule.REPORTS.tick(), this::sendReports);
+    schedule(loop, PeerSchedule.PART_CHANGES.tick(), this::sendChanges);
   }
 
   private static void schedule(EventLoop loop, Duration interval, Runnable task) {
@@ -115,7 +115,7 @@
   /** Sends part changes to the peers that are due and have not got them yet. */
   private void sendChanges() {
     changesTick++;
-    sendChanges(PeerSchedule.due(List.copyOf(peers.values()), changesTick));
+    sendChanges(PeerSchedule.PART_CHANGES.due(List.copyOf(peers.values()), changesTick));
     channel.flush();
   }
 
@@ -135,7 +135,7 @@
   private void sendReports() {
     Instant now = state.now();
     state.peers().removeGone(now);
-    List<Peer> due = PeerSchedule.due(List.copyOf(peers.values()), sequence);
+    List<Peer> due = PeerSchedule.REPORTS.due(List.copyOf(peers.values()), sequence);
     sequence++;
     if (due.isEmpty()) {
       return;
