Limit the batches of claim records in bytes

Cause: ClaimAppender compared the number of characters of a record with its limit in bytes, so answers in a script of three bytes a character made appends of up to three times the limit.

Change: the length in UTF-8 counts.

Test: ClaimAppenderTest.batchesAreLimitedInBytes failed before and passes now; ClaimControllerTest, ClaimFilterTest pass.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimAppender.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimAppender.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.daemon;
 
+import io.netty.buffer.ByteBufUtil;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -33,7 +34,9 @@
   /** Maximum length of the queue of claims and of the queue of outcomes. */
   static final int MAX_QUEUED = 10_000;
 
-  private static final int MAX_BATCH_BYTES = 512 * 1_024;
+  /** Maximum length of the records of an append in UTF-8. */
+  static final int MAX_BATCH_BYTES = 512 * 1_024;
+
   private static final Duration OUTCOME_LINGER = Duration.ofMillis(100);
   private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(250);
   private static final int MAX_RETRY_DOUBLINGS = 5;
@@ -126,7 +129,7 @@
       Deque<QueuedEvent> queue, int limit, int[] batchBytes) {
     List<QueuedEvent> taken = new ArrayList<>();
     while (!queue.isEmpty() && taken.size() < limit) {
-      int size = queue.peekFirst().text.length();
+      int size = ByteBufUtil.utf8Bytes(queue.peekFirst().text);
       if (batchBytes[0] > 0 && batchBytes[0] + size > MAX_BATCH_BYTES) {
         return taken;
       }
