--- a/core/src/main/java/org/dragonflyhill/core/relay/PartFeed.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartFeed.java
@@ -55,23 +55,6 @@
     return applicable;
   }
 
-  private List<PartChange> advanceThroughEarly() {
-    List<PartChange> applicable = new ArrayList<>();
-    while (!early.isEmpty() && early.firstKey() <= next) {
-      applicable.addAll(advance(early.pollFirstEntry().getValue()));
-    }
-    return applicable;
-  }
-
-  private List<PartChange> advance(Changes message) {
-    long known = next - message.first();
-    if (known >= message.changes().size()) {
-      return List.of();
-    }
-    next = message.first() + message.changes().size();
-    return message.changes().subList((int) known, message.changes().size());
-  }
-
   /**
    * Returns the changes of a piece of a snapshot that are to be applied now. Pieces after a missing
    * one are ignored, and the snapshot is requested again.
@@ -128,6 +111,23 @@
     return OptionalLong.of(next);
   }
 
+  private List<PartChange> advanceThroughEarly() {
+    List<PartChange> applicable = new ArrayList<>();
+    while (!early.isEmpty() && early.firstKey() <= next) {
+      applicable.addAll(advance(early.pollFirstEntry().getValue()));
+    }
+    return applicable;
+  }
+
+  private List<PartChange> advance(Changes message) {
+    long known = next - message.first();
+    if (known >= message.changes().size()) {
+      return List.of();
+    }
+    next = message.first() + message.changes().size();
+    return message.changes().subList((int) known, message.changes().size());
+  }
+
   private void observe(long newIncarnation) {
     if (newIncarnation != incarnation) {
       incarnation = newIncarnation;
