--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -120,7 +120,7 @@
   private void runCheck() {
     Instant now = state.now();
     detectSuspension(now);
-    List<WeightsRollout.OutdatedRunner> outdated =
+    final List<WeightsRollout.OutdatedRunner> outdated =
         WeightsRollout.outdatedRunners(
             state.runners().all(),
             state.announcedWeights(),
@@ -356,7 +356,7 @@
         lease.drop();
         rollout.clear();
       }
-      case ACCEPTED -> {
+      default -> {
         // The runner is carrying out the order; its report shows when it is complete.
       }
     }
