--- a/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
@@ -19,9 +19,29 @@
   private Optional<String> pendingId = Optional.empty();
   private Optional<String> lastId = Optional.empty();
   private boolean isLineEmpty = true;
+  private boolean isInsideEvent;
 
   /** Appends received bytes and returns the bytes of all events that are complete now. */
   public byte[] append(byte[] bytes) {
+    int completeLength = scan(bytes);
+    if (completeLength == 0) {
+      pending.write(bytes, 0, bytes.length);
+      return new byte[0];
+    }
+    pending.write(bytes, 0, completeLength);
+    byte[] complete = pending.toByteArray();
+    pending.reset();
+    pending.write(bytes, completeLength, bytes.length - completeLength);
+    return complete;
+  }
+
+  /** Records received bytes that are relayed without waiting for the end of their event. */
+  public void track(byte[] bytes) {
+    scan(bytes);
+  }
+
+  /** Returns the number of bytes up to the end of the last event that ends within them. */
+  private int scan(byte[] bytes) {
     int completeLength = 0;
     for (int i = 0; i < bytes.length; i++) {
       byte b = bytes[i];
@@ -44,15 +64,10 @@
         }
       }
     }
-    if (completeLength == 0) {
-      pending.write(bytes, 0, bytes.length);
-      return new byte[0];
+    if (bytes.length > 0) {
+      isInsideEvent = completeLength < bytes.length;
     }
-    pending.write(bytes, 0, completeLength);
-    byte[] complete = pending.toByteArray();
-    pending.reset();
-    pending.write(bytes, completeLength, bytes.length - completeLength);
-    return complete;
+    return completeLength;
   }
 
   private void parseField(String text) {
@@ -66,12 +81,13 @@
     pending.reset();
     line.setLength(0);
     isLineEmpty = true;
+    isInsideEvent = false;
     pendingId = Optional.empty();
   }
 
-  /** Returns whether bytes of an incomplete event are buffered. */
-  public boolean hasPartial() {
-    return pending.size() > 0;
+  /** Returns whether the bytes received so far end inside an event. */
+  public boolean isInsideEvent() {
+    return isInsideEvent;
   }
 
   /** Returns the id of the last complete event that has one. */
--- a/core/src/test/java/org/dragonflyhill/core/relay/EventStreamTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/EventStreamTest.java
@@ -42,7 +42,7 @@
       }
       assertEquals(out.toString(), text.toString(), "seed " + seed);
       assertEquals(stream.lastId(), Optional.of("50"));
-      assertFalse(stream.hasPartial());
+      assertFalse(stream.isInsideEvent());
     }
   }
 
@@ -51,13 +51,29 @@
   public void dropsThePartialEvent() {
     EventStream stream = new EventStream();
     assertEquals(stream.append(bytes("id: 1\ndata: a\n\nid: 2\nda")).length, 15);
-    assertTrue(stream.hasPartial());
+    assertTrue(stream.isInsideEvent());
     assertEquals(stream.lastId(), Optional.of("1"));
     stream.dropPartial();
     assertEquals(new String(stream.append(bytes("id: 2\ndata: b\n\n"))), "id: 2\ndata: b\n\n");
     assertEquals(stream.lastId(), Optional.of("2"));
   }
 
+  /** A stream that is only tracked is inside an event exactly between two event boundaries. */
+  @Test
+  public void tracksEventBoundaries() {
+    EventStream stream = new EventStream();
+    assertFalse(stream.isInsideEvent());
+    stream.track(bytes("id: 1\ndata: a\n"));
+    assertTrue(stream.isInsideEvent());
+    stream.track(new byte[0]);
+    assertTrue(stream.isInsideEvent());
+    stream.track(bytes("\r\n"));
+    assertFalse(stream.isInsideEvent());
+    stream.track(bytes("id: 2\ndata: b\n\nid"));
+    assertTrue(stream.isInsideEvent());
+    assertEquals(stream.lastId(), Optional.of("2"));
+  }
+
   /** Retries of a node stay within its share of the budget in every window. */
   @Test
   public void budgetHoldsInEveryWindow() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -747,6 +747,9 @@
           caller.writeContent(Unpooled.wrappedBuffer(completeEvents));
         }
       } else {
+        if (route.kind() == Route.Kind.STREAM) {
+          eventStream.track(ByteBufUtil.getBytes(bytes));
+        }
         caller.writeContent(bytes.retain());
       }
       if (!caller.isWritable()) {
@@ -762,12 +765,21 @@
     }
 
     @Override
-    public void onComplete() {
+    public void onComplete(RunnerConnection.BodyFraming framing, boolean isRequestWritten) {
       if (isEnded) {
         return;
       }
       releaseLoad();
-      if (isResumable() && eventStream.hasPartial()) {
+      if (framing == RunnerConnection.BodyFraming.CLOSE) {
+        logAttempt(
+            "answer_ended_by_close",
+            this,
+            "inside event: "
+                + eventStream.isInsideEvent()
+                + ", request written: "
+                + isRequestWritten);
+      }
+      if (isResumable() && eventStream.isInsideEvent()) {
         recover("stream ended in the middle of an event");
         return;
       }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -38,6 +38,7 @@
   private boolean hasHeaders;
   private boolean isSkippingResponse;
   private boolean isReusable;
+  private BodyFraming framing = BodyFraming.LENGTH;
   private boolean hasIoError;
   private int mismatchedResponses;
   private Duration reuseWindow;
@@ -127,10 +128,9 @@
     isSkippingResponse = false;
     hasHeaders = true;
     headers.idleTimeout().ifPresent(timeout -> reuseWindow = pool.reuseWindow(timeout));
-    boolean isLengthKnown =
-        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+    framing = BodyFraming.of(response);
     isReusable =
-        isLengthKnown
+        framing != BodyFraming.CLOSE
             && !response
                 .headers()
                 .containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
@@ -170,7 +170,7 @@
     } else {
       channel.close();
     }
-    completed.ifPresent(ResponseListener::onComplete);
+    completed.ifPresent(done -> done.onComplete(framing, isWritten));
   }
 
   private void fail(String reason) {
@@ -199,6 +199,21 @@
     }
   }
 
+  /** How the end of a response body is recognised. */
+  enum BodyFraming {
+    LENGTH,
+    CHUNKED,
+    /** The body has neither a length nor chunks and ends when the connection closes. */
+    CLOSE;
+
+    private static BodyFraming of(HttpResponse response) {
+      if (HttpUtil.isTransferEncodingChunked(response)) {
+        return CHUNKED;
+      }
+      return HttpUtil.isContentLengthSet(response) ? LENGTH : CLOSE;
+    }
+  }
+
   /** Receives the response to one request. */
   interface ResponseListener {
     /** Called for any data from the runner, including skipped responses. */
@@ -213,8 +228,13 @@
     /** Called when all data that was read at once has been delivered. */
     void onReadComplete();
 
-    /** Called when the response is complete. */
-    void onComplete();
+    /**
+     * Called when the response is complete.
+     *
+     * @param framing how the end of the body was recognised
+     * @param isRequestWritten whether the request was written completely
+     */
+    void onComplete(BodyFraming framing, boolean isRequestWritten);
 
     /** Called when the response is interrupted or cannot be received. */
     void onFailure(String reason);
