Detect a reset that shows while the request is still being written

What callers would see: an answer without a length or chunks, cut by a reset of its connection and framed as complete.

Cause: Netty reports a failed write to the promise of the write only and closes the channel; the response decoder then ends the answer as complete. The relay looked at read errors only.

Evidence: RelayTest.abortsAnswersResetWhileTheRequestIsWritten failed on the commit before: the caller got the half of the answer with a last chunk, and answer_ended_by_close said that the request had not been written. It passes now.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -72,7 +74,18 @@
     isReusable = false;
     mismatchedResponses = 0;
     channel.write(requestHead);
-    lastWrite = Optional.of(channel.writeAndFlush(new DefaultLastHttpContent(body)));
+    ChannelFuture written = channel.writeAndFlush(new DefaultLastHttpContent(body));
+    lastWrite = Optional.of(written);
+    written.addListener(any -> recordWriteError(written.cause()));
+  }
+
+  /**
+   * Records an I/O error that occurred while writing: Netty reports it only here and then closes
+   * the channel. Writes that were pending when the runner closed the connection in order fail with
+   * a {@link ClosedChannelException}.
+   */
+  private void recordWriteError(Throwable cause) {
+    hasIoError |= cause instanceof IOException && !(cause instanceof ClosedChannelException);
   }
 
   /** Cancels the request in progress by closing the connection, which makes the runner stop. */
@@ -194,7 +207,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable error) {
     hasIoError = true;
-    if (!(error instanceof java.io.IOException)) {
+    if (!(error instanceof IOException)) {
       fail("connection error: " + error);
     }
   }
