Report failed writes of all HTTP clients to their connections

WriteErrorHandler reports such errors as exceptions of the channel for every client: HttpCaller, ControlClient and RunnerConnection, which loses its own check. For ControlClient no failing case is known, since its readers refuse a part of a body.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -31,6 +31,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.ports.WriteErrorHandler;
 
 /**
  * HTTP client for the log service and for the control interfaces of runners and stores.
@@ -46,6 +47,8 @@
   /** Maximum number of idle connections kept open to one endpoint. */
   private static final int MAX_IDLE_PER_ENDPOINT = 2;
 
+  private static final WriteErrorHandler WRITE_ERROR_HANDLER = new WriteErrorHandler();
+
   private final EventLoop loop;
   private final Map<Endpoint, Deque<Connection>> idleConnections = new HashMap<>();
   private long requestCount;
@@ -97,7 +100,9 @@
                     channel
                         .pipeline()
                         .addLast(
-                            new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES));
+                            WRITE_ERROR_HANDLER,
+                            new HttpClientCodec(),
+                            new HttpObjectAggregator(MAX_RESPONSE_BYTES));
                   }
                 })
             .connect(endpoint.host(), endpoint.port());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -74,18 +73,7 @@
     isReusable = false;
     mismatchedResponses = 0;
     channel.write(requestHead);
-    ChannelFuture written = channel.writeAndFlush(new DefaultLastHttpContent(body));
-    lastWrite = Optional.of(written);
-    written.addListener(any -> recordWriteError(written.cause()));
-  }
-
-  /**
-   * Records an I/O error that occurred while writing: Netty reports it only here and then closes
-   * the channel. Writes that were pending when the runner closed the connection in order fail with
-   * a {@link ClosedChannelException}.
-   */
-  private void recordWriteError(Throwable cause) {
-    hasIoError |= cause instanceof IOException && !(cause instanceof ClosedChannelException);
+    lastWrite = Optional.of(channel.writeAndFlush(new DefaultLastHttpContent(body)));
   }
 
   /** Cancels the request in progress by closing the connection, which makes the runner stop. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.ports.WriteErrorHandler;
 
 /** Pool of persistent connections to runners. */
 final class RunnerConnectionPool {
@@ -41,6 +42,8 @@
 
   private static final int KEEP_ALIVE_PROBES = 3;
 
+  private static final WriteErrorHandler WRITE_ERROR_HANDLER = new WriteErrorHandler();
+
   private final EventLoop loop;
   private final HeaderCodec headerCodec;
   private final DecisionLog log;
@@ -106,7 +109,12 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(new HttpRequestEncoder(), new HttpResponseDecoder());
+                    channel
+                        .pipeline()
+                        .addLast(
+                            WRITE_ERROR_HANDLER,
+                            new HttpRequestEncoder(),
+                            new HttpResponseDecoder());
                   }
                 })
             .connect(endpoint.host(), endpoint.port());
--- a/ports/src/main/java/org/dragonflyhill/ports/HttpCaller.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/HttpCaller.java
@@ -29,6 +29,8 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
+  private static final WriteErrorHandler WRITE_ERROR_HANDLER = new WriteErrorHandler();
+
   private final ConnectionProvider connections;
   private final HttpClient client;
 
@@ -54,6 +56,8 @@
     client =
         HttpClient.create(connections)
             .disableRetry(true)
+            .doOnChannelInit(
+                (observer, channel, address) -> channel.pipeline().addFirst(WRITE_ERROR_HANDLER))
             .option(
                 io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 Math.toIntExact(connectTimeout.toMillis()));
