Stop using a runner as soon as one of its answers says that it leaves

Change: the first such answer marks the runner as draining at this node, which tells its peers in its reports. The mark belongs to one process of the runner: it ends when another process is listed, and a late report about the process before has no effect. Streams that are open go on. A runner whose address answers as another one is reported to the peers in the same way. Encoding version 4 of the datagrams between nodes.

RelayStateTest is new with the field of the report.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
@@ -17,6 +17,8 @@
  * @param isStopping whether the node is shutting down
  * @param loads load of this node on each runner, by runner id
  * @param changingRunners ids of the runners that the node has ordered to change their weights
+ * @param drainingRunners runners known to be draining before the host list says so: the start of
+ *     their process in Unix milliseconds, by runner id
  * @param weightVersions weight versions observed at runners before the host list showed them, by
  *     runner id
  * @param announcedWeights ages of the weight versions announced lately, by model and version
@@ -34,6 +36,7 @@
     boolean isStopping,
     Map<String, Load> loads,
     Set<String> changingRunners,
+    Map<String, Long> drainingRunners,
     Map<String, Long> weightVersions,
     Map<String, Map<Long, Duration>> announcedWeights,
     Map<Endpoint, Duration> holderReports,
@@ -45,6 +48,7 @@
   public PeerReport {
     loads = Map.copyOf(loads);
     changingRunners = Set.copyOf(changingRunners);
+    drainingRunners = Map.copyOf(drainingRunners);
     weightVersions = Map.copyOf(weightVersions);
     announcedWeights = Map.copyOf(announcedWeights);
     holderReports = Map.copyOf(holderReports);
--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -124,6 +124,11 @@
     isMarkedDraining = true;
   }
 
+  /** Returns whether {@link #markDraining} was called for this instance of the runner. */
+  public boolean isMarkedDraining() {
+    return isMarkedDraining;
+  }
+
   void markMissing(Instant now) {
     if (missingSince.isEmpty()) {
       missingSince = Optional.of(now);
--- a/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
@@ -38,6 +38,7 @@
         Map.of(),
         Map.of(),
         Map.of(),
+        Map.of(),
         0,
         List.of(),
         OptionalLong.empty());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
@@ -97,6 +97,7 @@
    *
    * @param requestId id of the request that the response belongs to
    * @param runnerId id of the runner that sent the response
+   * @param isDraining whether the runner that sent the response is about to leave
    * @param isNotRun whether the runner did not run the request and never will
    * @param weightVersion version of the weights that the runner has
    * @param idleTimeout how long the runner keeps an idle connection open
@@ -104,6 +105,7 @@
   record ResponseHeaders(
       Optional<String> requestId,
       Optional<String> runnerId,
+      boolean isDraining,
       boolean isNotRun,
       OptionalLong weightVersion,
       Optional<Duration> idleTimeout) {}
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -27,7 +27,7 @@
 final class PeerDatagramCodec {
 
   /** Version of the encoding. Datagrams of other versions are rejected. */
-  private static final int SCHEMA_VERSION = 3;
+  private static final int SCHEMA_VERSION = 4;
 
   private static final int KIND_REPORT = 0;
   private static final int KIND_CHANGES = 1;
@@ -122,10 +122,8 @@
     for (String runner : report.changingRunners()) {
       packer.packString(runner);
     }
-    packer.packMapHeader(report.weightVersions().size());
-    for (Map.Entry<String, Long> entry : report.weightVersions().entrySet()) {
-      packer.packString(entry.getKey()).packLong(entry.getValue());
-    }
+    packNumbers(report.drainingRunners(), packer);
+    packNumbers(report.weightVersions(), packer);
     packer.packMapHeader(report.announcedWeights().size());
     for (Map.Entry<String, Map<Long, Duration>> model : report.announcedWeights().entrySet()) {
       packer.packString(model.getKey()).packMapHeader(model.getValue().size());
@@ -165,10 +163,8 @@
     for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
       changing.add(unpacker.unpackString());
     }
-    Map<String, Long> weights = new HashMap<>();
-    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
-      weights.put(unpacker.unpackString(), unpacker.unpackLong());
-    }
+    final Map<String, Long> draining = unpackNumbers(unpacker);
+    final Map<String, Long> weights = unpackNumbers(unpacker);
     Map<String, Map<Long, Duration>> announced = new HashMap<>();
     for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
       Map<Long, Duration> versions = new HashMap<>();
@@ -197,6 +193,7 @@
         isStopping,
         loads,
         changing,
+        draining,
         weights,
         announced,
         holders,
@@ -301,6 +298,22 @@
     return changes;
   }
 
+  private static void packNumbers(Map<String, Long> numbers, MessagePacker packer)
+      throws IOException {
+    packer.packMapHeader(numbers.size());
+    for (Map.Entry<String, Long> entry : numbers.entrySet()) {
+      packer.packString(entry.getKey()).packLong(entry.getValue());
+    }
+  }
+
+  private static Map<String, Long> unpackNumbers(MessageUnpacker unpacker) throws IOException {
+    Map<String, Long> numbers = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      numbers.put(unpacker.unpackString(), unpacker.unpackLong());
+    }
+    return numbers;
+  }
+
   private static void packEndpoint(Endpoint endpoint, MessagePacker packer) throws IOException {
     packer.packString(endpoint.host()).packInt(endpoint.port());
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -189,6 +189,7 @@
   private PeerReport buildReport(Instant now) {
     Map<String, PeerReport.Load> loads = new HashMap<>();
     Set<String> changing = new HashSet<>();
+    Map<String, Long> draining = new HashMap<>();
     Map<String, Long> weights = new HashMap<>();
     for (Runner runner : state.runners().all()) {
       if (runner.running() > 0) {
@@ -199,6 +200,9 @@
       if (runner.isChangingWeights()) {
         changing.add(runner.id());
       }
+      if (runner.isMarkedDraining()) {
+        draining.put(runner.id(), runner.info().startedAtMillis());
+      }
       runner
           .singleModelWeightVersion()
           .filter(version -> !runner.info().weightVersions().containsValue(version))
@@ -213,6 +217,7 @@
         state.isStopping(),
         loads,
         changing,
+        draining,
         weights,
         state.announcedWeights().recent(MAX_ANNOUNCEMENT_AGE, now),
         assignment.recentReads(now),
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -131,6 +131,14 @@
   /** Records a report of another node, and the weight versions that it has seen. */
   public void recordPeerReport(PeerReport report) {
     peers.update(report, now());
+    report
+        .drainingRunners()
+        .forEach(
+            (id, startedAtMillis) ->
+                runners
+                    .find(id)
+                    .filter(runner -> runner.info().startedAtMillis() == startedAtMillis)
+                    .ifPresent(runner -> markDraining(runner, "node " + report.node())));
     report
         .weightVersions()
         .forEach(
@@ -290,6 +298,22 @@
     return !before.equals(Optional.of(info));
   }
 
+  /**
+   * Stops sending new requests to a runner that is draining, before the host list says so, until
+   * its process is replaced by another one.
+   *
+   * @param runner the runner
+   * @param source what says so, for the log
+   */
+  void markDraining(Runner runner, String source) {
+    if (runner.isMarkedDraining()) {
+      return;
+    }
+    runner.markDraining();
+    metrics.count("relay.runner_draining");
+    log.info("runner_draining", event -> event.with("runner", runner.id()).with("source", source));
+  }
+
   /** Logs runners that were removed, and drops pending saves of parts that have expired. */
   public void onRunnersRemoved(List<String> ids) {
     partPlacement.expirePending(now());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -656,6 +656,9 @@
                       .weightVersion()
                       .ifPresent(version -> runner.observeWeightVersion(prompt.model(), version)));
       int status = response.status().code();
+      if (responseHeaders.isDraining() && status != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+        state.markDraining(runner, "request " + id());
+      }
       if (responseHeaders.isNotRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
         onNotRun(status, responseHeaders);
         return;
@@ -707,7 +710,7 @@
       boolean isOtherRunner =
           responseHeaders.runnerId().filter(id -> !id.equals(runner.id())).isPresent();
       if (isOtherRunner || selection == null) {
-        runner.markDraining();
+        state.markDraining(runner, "request " + id());
         return;
       }
       String model = requestHeaders.prompt().get().model();
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -41,6 +41,7 @@
           false,
           Map.of("r1", new PeerReport.Load(3, List.of(0L, 12_000L), List.of(500L, 0L, 9L))),
           Set.of("r2"),
+          Map.of("r3", 1_700_000_000_123L),
           Map.of("r1", 2L),
           Map.of("m", Map.of(2L, Duration.ofMillis(1_500))),
           Map.of(RUNNER, Duration.ofMillis(90)),
--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
@@ -0,0 +1,86 @@
+package org.dragonflyhill.daemon.relay;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.RunnerInfo;
+import org.dragonflyhill.core.relay.SharedRetryBudget;
+import org.dragonflyhill.core.relay.WeightsDeadline;
+import org.dragonflyhill.daemon.MonotonicClock;
+import org.dragonflyhill.daemon.NodeMetrics;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests what the state takes over from the reports of other nodes. */
+public final class RelayStateTest {
+
+  private RelayState state;
+
+  /** Creates a state with one runner. */
+  @BeforeMethod
+  public void createState() {
+    MonotonicClock clock = new MonotonicClock();
+    state =
+        new RelayState(
+            "z1",
+            new SharedRetryBudget.Limits(Duration.ofSeconds(10), 0.2, 52, 0.6),
+            new WeightsDeadline(Duration.ofSeconds(6)),
+            clock,
+            new DecisionLog(clock),
+            new NodeMetrics());
+    listRunner(1);
+  }
+
+  private void listRunner(long startedAtMillis) {
+    state.addOrUpdateRunner(
+        new RunnerInfo(
+            "r1",
+            "s",
+            new Endpoint("10.0.0.1", 80),
+            "z1",
+            8,
+            false,
+            Map.of("m", 1L),
+            startedAtMillis));
+  }
+
+  private static PeerReport report(long sequence, Map<String, Long> drainingRunners) {
+    return new PeerReport(
+        "front-2",
+        "z1",
+        1,
+        sequence,
+        true,
+        false,
+        Map.of(),
+        Set.of(),
+        drainingRunners,
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        0,
+        List.of(),
+        OptionalLong.empty());
+  }
+
+  /** A runner that a peer knows to be draining gets no requests, but its next process does. */
+  @Test
+  public void peersTellWhichRunnersAreDraining() {
+    state.recordPeerReport(report(1, Map.of("r1", 7L, "unknown", 1L)));
+    assertEquals(state.reachable("s").size(), 1, "another process of the runner");
+    state.recordPeerReport(report(2, Map.of("r1", 1L)));
+    assertEquals(state.reachable("s").size(), 0);
+    listRunner(1);
+    assertEquals(state.reachable("s").size(), 0, "the same process, listed again");
+    listRunner(2);
+    assertEquals(state.reachable("s").size(), 1);
+    state.recordPeerReport(report(3, Map.of("r1", 1L)));
+    assertEquals(state.reachable("s").size(), 1, "a late report of the process before");
+  }
+}
