Hold requests back for as long as a runner asks for

Other runners serve the callers meanwhile; if all want a pause, callers are refused at once and told when the first one ends. Each node adds up to a fifth at random. A rejection of this kind is no failure of the runner, so it is used again once the time is over.

Orders to change weights and queries for their progress are still sent.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -41,6 +41,9 @@
 
   private static final int MAX_EJECTION_DOUBLINGS = 3;
 
+  /** Longest time for which a runner can hold this node's requests back. */
+  public static final Duration MAX_BACKOFF = Duration.ofSeconds(60);
+
   private RunnerInfo info;
   private final Map<String, Long> weightVersions = new HashMap<>();
   private final FailureScore failureScore = new FailureScore();
@@ -54,6 +57,7 @@
   private Optional<Instant> missingSince = Optional.empty();
   private Instant ejectedUntil = Instant.MIN;
   private int ejections;
+  private Instant backoffUntil = Instant.MIN;
   private boolean isMarkedDraining;
   private boolean isChangingWeights;
 
@@ -235,6 +239,21 @@
     failureScore.recordSuccess(now);
   }
 
+  /**
+   * Holds new requests back for a time that the runner asked for, at most {@link #MAX_BACKOFF}. An
+   * earlier, longer time stays in force.
+   */
+  public void backOff(Duration time, Instant now) {
+    Duration bounded = time.compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : time;
+    Instant until = now.plus(bounded);
+    backoffUntil = until.isAfter(backoffUntil) ? until : backoffUntil;
+  }
+
+  /** Returns how long the runner still wants no requests, zero if it accepts them. */
+  public Duration backoffLeft(Instant now) {
+    return now.isBefore(backoffUntil) ? Duration.between(now, backoffUntil) : Duration.ZERO;
+  }
+
   /** Returns the decaying score of recent failures. */
   public double failureScore(Instant now) {
     return failureScore.value(now);
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
@@ -71,6 +71,21 @@
     }
   }
 
+  /**
+   * The time for which a runner wants no requests is bounded, and a shorter one does not end it.
+   */
+  @Test
+  public void runnerBacksOffForTheLongestTimeUpToLimit() {
+    Runner runner = runner("r1", 1);
+    assertEquals(runner.backoffLeft(NOW), Duration.ZERO);
+    runner.backOff(Duration.ofSeconds(3), NOW);
+    runner.backOff(Duration.ofSeconds(1), NOW);
+    assertEquals(runner.backoffLeft(NOW.plusSeconds(1)), Duration.ofSeconds(2));
+    assertEquals(runner.backoffLeft(NOW.plusSeconds(3)), Duration.ZERO);
+    runner.backOff(Duration.ofDays(365), NOW);
+    assertEquals(runner.backoffLeft(NOW), Runner.MAX_BACKOFF);
+  }
+
   /** A returning history goes to the runner that has it cached. */
   @Test
   public void prefersTheRunnerThatHoldsTheHistory() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
@@ -99,6 +99,7 @@
    * @param runnerId id of the runner that sent the response
    * @param isDraining whether the runner that sent the response is about to leave
    * @param isNotRun whether the runner did not run the request and never will
+   * @param retryAfter how long a runner that rejects a request wants no others from this node
    * @param weightVersion version of the weights that the runner has
    * @param idleTimeout how long the runner keeps an idle connection open
    */
@@ -107,6 +108,7 @@
       Optional<String> runnerId,
       boolean isDraining,
       boolean isNotRun,
+      Optional<Duration> retryAfter,
       OptionalLong weightVersion,
       Optional<Duration> idleTimeout) {}
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -1,13 +1,16 @@
 package org.dragonflyhill.daemon.relay;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.AnnouncedWeights;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.Organisation;
@@ -41,6 +44,9 @@
    */
   public static final int MIN_NODES = 4;
 
+  /** Maximum random extension of the time for which a runner wants no requests, as a fraction. */
+  private static final double MAX_BACKOFF_JITTER = 0.2;
+
   private final InstantSource clock;
   private final DecisionLog log;
   private final NodeMetrics metrics;
@@ -373,12 +379,53 @@
         && !(reportsCache && parts.isFresh(runner.info().endpoint(), now()));
   }
 
+  /**
+   * Holds requests back from a runner that rejected one, for the time that it asked for and a
+   * random part of it, so that the nodes do not all return at the same moment.
+   */
+  void backOff(Runner runner, Duration retryAfter, String requestId) {
+    double jitter = ThreadLocalRandom.current().nextDouble(MAX_BACKOFF_JITTER);
+    Duration time = Duration.ofMillis((long) (retryAfter.toMillis() * (1 + jitter)));
+    runner.backOff(time, now());
+    metrics.count("relay.runner_backoff");
+    log.info(
+        "runner_backoff",
+        event ->
+            event
+                .with("runner", runner.id())
+                .with("request", requestId)
+                .with("left_ms", runner.backoffLeft(now()).toMillis()));
+  }
+
+  /** Returns how long a runner or store wants no requests of this node. */
+  public Duration backoffLeft(Endpoint endpoint) {
+    return runners.all().stream()
+        .filter(runner -> runner.info().endpoint().equals(endpoint))
+        .map(runner -> runner.backoffLeft(now()))
+        .max(Comparator.naturalOrder())
+        .orElse(Duration.ZERO);
+  }
+
+  /**
+   * Returns how long the runners of a service want no requests of this node, empty if one of them
+   * accepts requests or none is listed.
+   */
+  Optional<Duration> backoffLeft(String service) {
+    return runners.availableRunners(service).stream()
+        .map(runner -> runner.backoffLeft(now()))
+        .min(Comparator.naturalOrder())
+        .filter(Duration::isPositive);
+  }
+
   /**
    * Returns the runners of a service that accept requests, without those that could not be reached
    * lately; if none could be reached, returns all that accept requests.
    */
   List<Runner> reachable(String service) {
-    List<Runner> available = runners.availableRunners(service);
+    List<Runner> available =
+        runners.availableRunners(service).stream()
+            .filter(runner -> runner.backoffLeft(now()).isZero())
+            .toList();
     List<Runner> reachable = available.stream().filter(runner -> !runner.isEjected()).toList();
     return reachable.isEmpty() ? available : reachable;
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -184,17 +184,17 @@
       return;
     }
     Instant now = state.now();
-    List<Runner> candidates = new ArrayList<>();
-    for (Runner runner : state.reachable(pool.name())) {
-      if (!triedRunners.contains(runner.id())) {
-        candidates.add(runner);
-      }
-    }
+    List<Runner> candidates = untriedRunners();
     Optional<Attempt> next = chooseRunner(candidates, now);
     if (next.isEmpty() && !candidates.isEmpty()) {
       fail("weights_replaced", "all runners left have replaced weights", NO_RUNNER_RETRY_AFTER);
       return;
     }
+    Optional<Duration> backoffLeft = state.backoffLeft(pool.name());
+    if (next.isEmpty() && backoffLeft.isPresent()) {
+      fail("runners_busy", "all runners of " + pool.name() + " want a pause", backoffLeft.get());
+      return;
+    }
     if (next.isEmpty()) {
       fail("no_runner", "no runner of " + pool.name() + " is open", NO_RUNNER_RETRY_AFTER);
       return;
@@ -223,6 +223,13 @@
             error -> onConnectFailed(chosen, error));
   }
 
+  /** Returns the runners that accept requests and have not been tried for this one. */
+  private List<Runner> untriedRunners() {
+    return state.reachable(pool.name()).stream()
+        .filter(runner -> !triedRunners.contains(runner.id()))
+        .toList();
+  }
+
   /** Queues the request at this node; {@link RequestQueue} retries it until its wait is over. */
   private void enqueue(RunnerSelector.Selection selection, Instant now) {
     if (waitUntil.equals(Instant.MAX)) {
@@ -378,10 +385,7 @@
   private boolean retryOnAnotherRunner(String reason) {
     Instant now = state.now();
     boolean mayRetry =
-        attempts < route.maxAttempts()
-            && now.isBefore(deadline)
-            && !state.runners().availableRunners(pool.name()).stream()
-                .allMatch(runner -> triedRunners.contains(runner.id()));
+        attempts < route.maxAttempts() && now.isBefore(deadline) && !untriedRunners().isEmpty();
     if (!mayRetry || !state.retryBudget(pool.name()).tryAcquire(state.nodeCount(), now)) {
       return false;
     }
@@ -659,6 +663,7 @@
       if (responseHeaders.isDraining() && status != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
         state.markDraining(runner, "request " + id());
       }
+      responseHeaders.retryAfter().ifPresent(time -> state.backOff(runner, time, id()));
       if (responseHeaders.isNotRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
         onNotRun(status, responseHeaders);
         return;
@@ -696,7 +701,7 @@
       logAttempt("runner_refused", this, "status " + status);
       if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
         onMisdirected(responseHeaders);
-      } else {
+      } else if (responseHeaders.retryAfter().isEmpty()) {
         runner.recordFailure(0.5, now);
       }
       abandon("refused");
@@ -725,7 +730,10 @@
       cancel();
       currentAttempt = Optional.empty();
       if (!retryOnAnotherRunner(reason)) {
-        fail(reason, "the runner refused the request", RUNNER_FAILURE_RETRY_AFTER);
+        fail(
+            reason,
+            "the runner refused the request",
+            state.backoffLeft(pool.name()).orElse(RUNNER_FAILURE_RETRY_AFTER));
       }
     }
 
