--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -47,8 +47,6 @@
   /** Maximum number of idle connections kept open to one endpoint. */
   private static final int MAX_IDLE_PER_ENDPOINT = 2;
 
-  private static final WriteErrorHandler WRITE_ERROR_HANDLER = new WriteErrorHandler();
-
   private final EventLoop loop;
   private final Map<Endpoint, Deque<Connection>> idleConnections = new HashMap<>();
   private long requestCount;
@@ -100,7 +98,7 @@
                     channel
                         .pipeline()
                         .addLast(
-                            WRITE_ERROR_HANDLER,
+                            WriteErrorHandler.INSTANCE,
                             new HttpClientCodec(),
                             new HttpObjectAggregator(MAX_RESPONSE_BYTES));
                   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -662,6 +662,7 @@
                       .weightVersion()
                       .ifPresent(version -> runner.observeWeightVersion(prompt.model(), version)));
       int status = response.status().code();
+      // With 421 another runner answers, at the address of the one that was expected.
       if (responseHeaders.isDraining() && status != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
         state.markDraining(runner, "request " + id());
       }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
@@ -42,8 +42,6 @@
 
   private static final int KEEP_ALIVE_PROBES = 3;
 
-  private static final WriteErrorHandler WRITE_ERROR_HANDLER = new WriteErrorHandler();
-
   private final EventLoop loop;
   private final HeaderCodec headerCodec;
   private final DecisionLog log;
@@ -112,7 +110,7 @@
                     channel
                         .pipeline()
                         .addLast(
-                            WRITE_ERROR_HANDLER,
+                            WriteErrorHandler.INSTANCE,
                             new HttpRequestEncoder(),
                             new HttpResponseDecoder());
                   }
--- a/ports/src/main/java/org/dragonflyhill/ports/HttpCaller.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/HttpCaller.java
@@ -29,8 +29,6 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
-  private static final WriteErrorHandler WRITE_ERROR_HANDLER = new WriteErrorHandler();
-
   private final ConnectionProvider connections;
   private final HttpClient client;
 
@@ -57,7 +55,8 @@
         HttpClient.create(connections)
             .disableRetry(true)
             .doOnChannelInit(
-                (observer, channel, address) -> channel.pipeline().addFirst(WRITE_ERROR_HANDLER))
+                (observer, channel, address) ->
+                    channel.pipeline().addFirst(WriteErrorHandler.INSTANCE))
             .option(
                 io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 Math.toIntExact(connectTimeout.toMillis()));
--- a/ports/src/main/java/org/dragonflyhill/ports/WriteErrorHandler.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/WriteErrorHandler.java
@@ -18,6 +18,11 @@
 @ChannelHandler.Sharable
 public final class WriteErrorHandler extends ChannelOutboundHandlerAdapter {
 
+  /** The handler, which all pipelines share. */
+  public static final WriteErrorHandler INSTANCE = new WriteErrorHandler();
+
+  private WriteErrorHandler() {}
+
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
     ChannelPromise reporting = promise.unvoid();
