Log why a retry was denied, and connections that are closed as idle

The hypotheses on lost requests could not be told apart: after a runner fell silent, no line said whether the retry budget, the runners, the attempts or the deadline forbade another attempt, and a caller's connection closed as idle left no line at all. No decision changes.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -299,7 +299,18 @@
       }
       return;
     }
-    if (Duration.between(idleSince, now).compareTo(limits().idleTimeout()) > 0) {
+    Duration idleTime = Duration.between(idleSince, now);
+    if (idleTime.compareTo(limits().idleTimeout()) > 0) {
+      server
+          .state()
+          .log()
+          .info(
+              "caller_connection_idle",
+              event ->
+                  event
+                      .with("idle_ms", idleTime.toMillis())
+                      .with("limit_ms", limits().idleTimeout().toMillis())
+                      .with("queued_messages", queuedMessages.size()));
       isClosing = true;
       channel.close();
     }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -386,9 +386,9 @@
    */
   private boolean retryOnAnotherRunner(String reason) {
     Instant now = state.now();
-    boolean mayRetry =
-        attempts < route.maxAttempts() && now.isBefore(deadline) && !untriedRunners().isEmpty();
-    if (!mayRetry || !state.retryBudget(pool.name()).tryAcquire(state.nodeCount(), now)) {
+    Optional<String> obstacle = findRetryObstacle(now);
+    if (obstacle.isPresent()) {
+      logRetryDenied(reason, obstacle.get());
       return false;
     }
     state.metrics().countRetry(reason);
@@ -396,6 +396,36 @@
     return true;
   }
 
+  /** Returns why another attempt is not allowed; otherwise takes it from the retry budget. */
+  private Optional<String> findRetryObstacle(Instant now) {
+    if (attempts >= route.maxAttempts()) {
+      return Optional.of("no attempt left");
+    }
+    if (!now.isBefore(deadline)) {
+      return Optional.of("deadline exceeded");
+    }
+    if (untriedRunners().isEmpty()) {
+      return Optional.of("no untried runner");
+    }
+    return state.retryBudget(pool.name()).tryAcquire(state.nodeCount(), now)
+        ? Optional.empty()
+        : Optional.of("retry budget exhausted");
+  }
+
+  private void logRetryDenied(String reason, String obstacle) {
+    state.metrics().count("relay.retry_denied");
+    state
+        .log()
+        .info(
+            "retry_denied",
+            event ->
+                event
+                    .with("request", id())
+                    .with("route", route.name())
+                    .with("reason", reason)
+                    .with("detail", obstacle));
+  }
+
   /**
    * Fails the request: aborts a response that has started, and otherwise answers with an error that
    * tells whether the request may have run.
