Keep a silent runner's request until another runner has answered it

Callers saw their connection closed in the middle of a stream, or a 502, although the runner was sound and would have gone on.

Cause: silence was taken for a failure. When a runner had sent nothing for 1.2 s in a resumable stream, or for 0.9 s before an answer, the attempt was cancelled first and another one asked for after that. If the attempts, the retry budget or the runners did not allow it, or if the other runner rejected, reset or failed the request, nothing was left.

Now the other runner is asked first. The silent attempt is cancelled when that runner answers, or 300 ms after the request was sent to it, so that both do not run for longer than the platform allows. If it cannot be reached, rejects or fails the request, or if the silent runner goes on before, the request stays where it was.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -56,9 +56,15 @@
   /** Number of failed connections after which the request is refused. */
   private static final int MAX_UNREACHABLE_RUNNERS = 3;
 
-  /** Pause within a resumable stream after which it is resumed at another runner. */
+  /** Pause within a resumable stream after which another runner is asked to resume it. */
   private static final Duration STREAM_IDLE_TIMEOUT = Duration.ofMillis(1_200);
 
+  /**
+   * Time after which a silent attempt is cancelled if the runner that was asked instead has not
+   * answered. Both must not run for longer than the 400 ms of the platform specification.
+   */
+  private static final Duration HANDOVER_TIMEOUT = Duration.ofMillis(300);
+
   /**
    * Difference between the timeout of the route and the caller's remaining time above which the
    * request counts as a retry by the caller. A caller that retries has used up at least this time.
@@ -88,6 +94,10 @@
   private int attempts;
   private int unreachableRunners;
   private Optional<Attempt> currentAttempt = Optional.empty();
+
+  /** An attempt whose runner fell silent, kept until the current attempt replaces it. */
+  private Optional<Attempt> silentAttempt = Optional.empty();
+
   private boolean mayHaveRun;
   private boolean isQueued;
   private Instant waitUntil = Instant.MAX;
@@ -204,7 +214,11 @@
       }
     }
     isQueued = false;
-    currentAttempt = next;
+    connect(chosen);
+  }
+
+  private void connect(Attempt chosen) {
+    currentAttempt = Optional.of(chosen);
     triedRunners.add(chosen.runner.id());
     server
         .runnerConnections()
@@ -356,6 +370,9 @@
     chosen.runner.eject(state.now());
     unreachableRunners++;
     logAttempt("runner_unreached", chosen, error.toString());
+    if (resumeSilentAttempt()) {
+      return;
+    }
     if (unreachableRunners >= MAX_UNREACHABLE_RUNNERS) {
       fail("runners_unreached", "no runner could be reached", NO_RUNNER_RETRY_AFTER);
       return;
@@ -386,7 +403,7 @@
    */
   private boolean retryOnAnotherRunner(String reason) {
     Instant now = state.now();
-    Optional<String> obstacle = findRetryObstacle(now);
+    Optional<String> obstacle = findRetryObstacle(now).or(() -> spendRetry(now));
     if (obstacle.isPresent()) {
       logRetryDenied(reason, obstacle.get());
       return false;
@@ -396,7 +413,7 @@
     return true;
   }
 
-  /** Returns why another attempt is not allowed; otherwise takes it from the retry budget. */
+  /** Returns why another attempt is not possible, regardless of the retry budget. */
   private Optional<String> findRetryObstacle(Instant now) {
     if (attempts >= route.maxAttempts()) {
       return Optional.of("no attempt left");
@@ -404,9 +421,11 @@
     if (!now.isBefore(deadline)) {
       return Optional.of("deadline exceeded");
     }
-    if (untriedRunners().isEmpty()) {
-      return Optional.of("no untried runner");
-    }
+    return untriedRunners().isEmpty() ? Optional.of("no untried runner") : Optional.empty();
+  }
+
+  /** Takes a retry from the budget, or returns why that is not possible. */
+  private Optional<String> spendRetry(Instant now) {
     return state.retryBudget(pool.name()).tryAcquire(state.nodeCount(), now)
         ? Optional.empty()
         : Optional.of("retry budget exhausted");
@@ -476,6 +495,7 @@
     isFinished = true;
     currentAttempt.ifPresent(Attempt::cancel);
     currentAttempt = Optional.empty();
+    cancelSilentAttempt();
     body.release();
     server.requestFinished(this);
   }
@@ -503,6 +523,10 @@
       onTimeout();
       return;
     }
+    if (silentAttempt.filter(silent -> silent.hasOutlivedWeights(now)).isPresent()
+        || currentAttempt.filter(current -> current.isHandoverOver(now)).isPresent()) {
+      cancelSilentAttempt();
+    }
     if (currentAttempt.filter(current -> current.hasOutlivedWeights(now)).isPresent()) {
       Attempt outdated = currentAttempt.get();
       logAttempt("weights_replaced", outdated, "not begun before its weights must not be used");
@@ -510,15 +534,65 @@
       return;
     }
     boolean isReplaceable = isResponseStarted ? isResumable() : route.isRepeatable();
-    if (currentAttempt.isPresent() && isReplaceable && currentAttempt.get().isSilent(now)) {
-      Attempt silent = currentAttempt.get();
-      if (attempts < route.maxAttempts()) {
-        logAttempt("runner_silent", silent, "no data from the runner");
-        silent.runner.eject(now);
-        server.runnerConnections().closeIdle(silent.runner.info().endpoint());
-        eventStream.dropPartial();
-        replaceAttempt(silent, "runner_silent", "the runner fell silent");
+    if (isReplaceable && silentAttempt.isEmpty()) {
+      currentAttempt.filter(current -> current.isSilent(now)).ifPresent(this::handOver);
+    }
+  }
+
+  /**
+   * Asks another runner to take over from a silent one. The silent attempt is kept until the other
+   * runner has answered, since its runner may go on and the other one may not be able to.
+   */
+  private void handOver(Attempt silent) {
+    if (attempts >= route.maxAttempts()) {
+      return;
+    }
+    Instant now = state.now();
+    boolean isReported = silent.isSilenceReported;
+    if (!isReported) {
+      silent.isSilenceReported = true;
+      logAttempt("runner_silent", silent, "no data from the runner");
+      silent.runner.eject(now);
+      server.runnerConnections().closeIdle(silent.runner.info().endpoint());
+    }
+    Optional<String> obstacle = findRetryObstacle(now);
+    Optional<Attempt> next =
+        obstacle.isPresent() ? Optional.empty() : chooseRunner(untriedRunners(), now);
+    if (obstacle.isEmpty()) {
+      obstacle = next.isEmpty() ? Optional.of("weights replaced") : spendRetry(now);
+    }
+    if (obstacle.isPresent()) {
+      if (!isReported) {
+        logRetryDenied("runner_silent", obstacle.get());
       }
+      return;
+    }
+    state.metrics().countRetry("runner_silent");
+    mayHaveRun = true;
+    silentAttempt = Optional.of(silent);
+    connect(next.get());
+  }
+
+  /**
+   * Goes back to the silent attempt after the attempt that should have replaced it failed; returns
+   * false if there is none.
+   */
+  private boolean resumeSilentAttempt() {
+    if (silentAttempt.isEmpty()) {
+      return false;
+    }
+    currentAttempt.ifPresent(Attempt::cancel);
+    currentAttempt = silentAttempt;
+    silentAttempt = Optional.empty();
+    logAttempt("silent_runner_kept", currentAttempt.get(), "not replaced by another runner");
+    return true;
+  }
+
+  private void cancelSilentAttempt() {
+    if (silentAttempt.isPresent()) {
+      silentAttempt.get().cancel();
+      silentAttempt = Optional.empty();
+      eventStream.dropPartial();
     }
   }
 
@@ -527,6 +601,9 @@
     replaced.cancel();
     currentAttempt = Optional.empty();
     mayHaveRun = true;
+    if (resumeSilentAttempt()) {
+      return;
+    }
     if (!route.isRepeatable() || !retryOnAnotherRunner(reason)) {
       fail(reason, detail, RUNNER_FAILURE_RETRY_AFTER);
     }
@@ -562,6 +639,7 @@
     private Instant lastActivityAt = Instant.MAX;
     private Instant sentAt = Instant.MAX;
     private boolean hasResponse;
+    private boolean isSilenceReported;
     private boolean isEnded;
 
     Attempt(Runner runner, RunnerSelector.Selection selection) {
@@ -631,6 +709,12 @@
               && Duration.between(lastActivityAt, now).compareTo(Runner.SILENCE_TIMEOUT) > 0;
     }
 
+    /** Returns whether the runner had time to answer before a silent attempt is cancelled. */
+    boolean isHandoverOver(Instant now) {
+      return connection.isPresent()
+          && Duration.between(sentAt, now).compareTo(HANDOVER_TIMEOUT) > 0;
+    }
+
     /**
      * Returns whether the request was sent but has not begun, and its runner's weights were
      * replaced so long ago that it must not begin on them any more.
@@ -668,7 +752,11 @@
     @Override
     public void onActivity() {
       lastActivityAt = state.now();
+      isSilenceReported = false;
       runner.recordActivity(lastActivityAt);
+      if (silentAttempt.filter(this::equals).isPresent()) {
+        resumeSilentAttempt();
+      }
     }
 
     @Override
@@ -705,19 +793,23 @@
       if (status >= 500) {
         runner.recordFailure(1, now);
         logAttempt("runner_failed", this, "status " + status);
+        if (resumeSilentAttempt()) {
+          return;
+        }
         if (route.isRepeatable() && !isResponseStarted && abandonIfRetried()) {
           return;
         }
       } else {
         runner.recordSuccess(now);
       }
-      if (isResponseStarted) {
-        if (status != 200) {
-          abandon("resume_refused");
-        }
+      if (isResponseStarted && status != 200) {
+        abandon("resume_refused");
         return;
       }
-      writeResponseHeaders(response);
+      cancelSilentAttempt();
+      if (!isResponseStarted) {
+        writeResponseHeaders(response);
+      }
     }
 
     /** Retries on another runner and cancels this attempt; returns false if that is not allowed. */
@@ -762,6 +854,9 @@
     private void abandon(String reason) {
       cancel();
       currentAttempt = Optional.empty();
+      if (resumeSilentAttempt()) {
+        return;
+      }
       if (!retryOnAnotherRunner(reason)) {
         fail(
             reason,
@@ -871,7 +966,14 @@
       runner.recordFailure(1, state.now());
       mayHaveRun = true;
       logAttempt("answer_failed", this, reason);
+      if (silentAttempt.filter(this::equals).isPresent()) {
+        cancelSilentAttempt();
+        return;
+      }
       currentAttempt = Optional.empty();
+      if (resumeSilentAttempt()) {
+        return;
+      }
       eventStream.dropPartial();
       boolean isRetryAllowed = isResponseStarted ? isResumable() : route.isRepeatable();
       if (!isRetryAllowed || !retryOnAnotherRunner("broken")) {
