Log which prompt parts a crashed runner had just begun to answer

The logs named the requests whose answers broke off, but nothing of what they had in common, and did not tell a crash from an answer that failed. No decision changes.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Prompt.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Prompt.java
@@ -22,6 +22,11 @@
     return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
   }
 
+  /** Returns keys that identify the shared parts among those of all models. */
+  public List<String> sharedPartKeys() {
+    return sharedParts().stream().map(part -> model + '/' + part.id()).toList();
+  }
+
   /** Returns the maximum KV memory that the request may need, in tokens. */
   public int memoryTokens() {
     return promptTokens + maxOutputTokens;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -33,6 +33,7 @@
   private final RelayState state;
   private final HeaderCodec headerCodec;
   private final RunnerConnectionPool runnerConnections;
+  private final RunnerCrashDetector crashDetector;
   private final Set<CallerConnection> callers = new HashSet<>();
   private final Set<RelayedRequest> activeRequests = new HashSet<>();
   private final RequestQueue queue = new RequestQueue();
@@ -45,6 +46,7 @@
     this.state = state;
     this.headerCodec = headerCodec;
     this.runnerConnections = new RunnerConnectionPool(loop, headerCodec, state.log(), state::now);
+    this.crashDetector = new RunnerCrashDetector(state, runnerConnections);
     serverChannel =
         new ServerBootstrap()
             .group(loop)
@@ -141,6 +143,10 @@
     return runnerConnections;
   }
 
+  RunnerCrashDetector crashDetector() {
+    return crashDetector;
+  }
+
   RelayConfiguration.CallerLimits limits() {
     return state
         .configuration()
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -71,6 +71,9 @@
    */
   private static final Duration RETRY_DETECTION_MARGIN = Duration.ofMillis(100);
 
+  /** Age of an answer up to which its prompt may be the cause if its runner crashes. */
+  private static final Duration SUSPECT_ANSWER_AGE = Duration.ofMillis(500);
+
   /** Time after sending within which fetches must end, since the parts may be freed afterwards. */
   private static final Duration MAX_FETCH_TIME = Duration.ofMillis(2_000);
 
@@ -638,6 +641,7 @@
     private Optional<RunnerConnection> connection = Optional.empty();
     private Instant lastActivityAt = Instant.MAX;
     private Instant sentAt = Instant.MAX;
+    private Instant answeredAt = Instant.MAX;
     private boolean hasResponse;
     private boolean isSilenceReported;
     private boolean isEnded;
@@ -709,6 +713,10 @@
               && Duration.between(lastActivityAt, now).compareTo(Runner.SILENCE_TIMEOUT) > 0;
     }
 
+    private Duration answerAge() {
+      return Duration.between(answeredAt, state.now());
+    }
+
     /** Returns whether the runner had time to answer before a silent attempt is cancelled. */
     boolean isHandoverOver(Instant now) {
       return connection.isPresent()
@@ -764,6 +772,7 @@
       Instant now = state.now();
       if (!hasResponse) {
         hasResponse = true;
+        answeredAt = now;
         runner.answerStarted(rank(), prefillTokens(), now);
         if (selection != null && !responseHeaders.isNotRun()) {
           state
@@ -966,6 +975,13 @@
       runner.recordFailure(1, state.now());
       mayHaveRun = true;
       logAttempt("answer_failed", this, reason);
+      if (hasResponse && answerAge().compareTo(SUSPECT_ANSWER_AGE) <= 0) {
+        requestHeaders
+            .prompt()
+            .ifPresent(
+                prompt ->
+                    server.crashDetector().onAnswerBrokenOff(runner, prompt.sharedPartKeys()));
+      }
       if (silentAttempt.filter(this::equals).isPresent()) {
         cancelSilentAttempt();
         return;
