Stop sending prompts with a part that crashes runners

Cause: nothing of a request outlived the crash of its runner, so the next prompt with the same part went to the next runner.

Evidence is kept for prompt parts now. When an answer breaks off within 0.5 s of its beginning and a new connection to its runner fails, the runner has crashed, and the shared parts of its young answers are suspect. An answer that completes, or goes on for 1 s, clears its parts of all crashes before it began, so that the parts which sound prompts share with bad ones never stay suspect. A part with three crashes since its last sound answer is blocked: its requests, also retries and those that wait at a runner, get a 500, which does not invite them back.

Nodes send each other what they know every 150 ms, also what others have told them, so that a restarted node learns it from any peer. Memory and reports are bounded.

--- /dev/null
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
@@ -0,0 +1,210 @@
+package org.dragonflyhill.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Prompt parts under which runners crashed while they began an answer, as seen by all nodes.
+ *
+ * <p>A crash makes every part suspect that the runner had just begun to answer. Since sound prompts
+ * share parts with the one that caused it, an answer that is sound clears its parts of all crashes
+ * before it began. A part with several crashes since is blocked until these are old.
+ *
+ * <p>Not thread-safe; no argument may be null.
+ */
+public final class CrashSuspects {
+
+  /** Number of crashes without a sound answer since from which a part is blocked. */
+  public static final int BLOCKING_CRASHES = 3;
+
+  /** Time after which a crash is forgotten. */
+  public static final Duration CRASH_MEMORY = Duration.ofMinutes(10);
+
+  /** Maximum number of parts that are remembered. */
+  static final int MAX_PARTS = 512;
+
+  /** Maximum number of crashes that are remembered for a part; older ones are dropped. */
+  static final int MAX_CRASHES_PER_PART = 16;
+
+  /** Maximum number of suspect parts, and of cleared ones, in a report. */
+  static final int MAX_REPORTED_PARTS = 32;
+
+  private static final Comparator<Suspect> MOST_SUSPECT_FIRST =
+      Comparator.comparingInt(Suspect::crashCount).thenComparing(Suspect::newestCrash).reversed();
+
+  private final Map<String, Suspect> suspects = new HashMap<>();
+
+  /** Returns whether no part is suspect, or was lately. */
+  public boolean isEmpty() {
+    return suspects.isEmpty();
+  }
+
+  /**
+   * Records the crash of a runner.
+   *
+   * @param crash identifier of the crash, equal for all nodes that see it
+   * @param parts parts of the prompts that the runner had just begun to answer
+   * @param now present time
+   */
+  public void recordCrash(String crash, Collection<String> parts, Instant now) {
+    removeForgotten(now);
+    parts.forEach(part -> suspect(part).addCrash(crash, now));
+    removeExcess();
+  }
+
+  /**
+   * Records an answer that its runner completed or went on with for a while.
+   *
+   * @param parts shared parts of its prompt
+   * @param begunAt when the answer began
+   */
+  public void recordSoundAnswer(Collection<String> parts, Instant begunAt) {
+    for (String part : parts) {
+      Suspect suspect = suspects.get(part);
+      if (suspect != null) {
+        suspect.ownSoundAnswer = later(suspect.ownSoundAnswer, begunAt);
+        suspect.clearBefore(begunAt);
+      }
+    }
+  }
+
+  /** Returns the first of the parts that is blocked. */
+  public Optional<String> blockedPart(Collection<String> parts, Instant now) {
+    for (String part : parts) {
+      Suspect suspect = suspects.get(part);
+      if (suspect != null) {
+        suspect.forgetCrashes(now);
+        if (suspect.crashCount() >= BLOCKING_CRASHES) {
+          return Optional.of(part);
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns what this node knows, for its peers. Crashes that others have told are included. */
+  public CrashReport report(Instant now) {
+    removeForgotten(now);
+    Map<String, Map<String, Duration>> crashes = new HashMap<>();
+    Map<String, Duration> soundAnswers = new HashMap<>();
+    List<Map.Entry<String, Suspect>> sorted =
+        suspects.entrySet().stream()
+            .sorted(Map.Entry.comparingByValue(MOST_SUSPECT_FIRST))
+            .toList();
+    for (Map.Entry<String, Suspect> entry : sorted) {
+      Suspect suspect = entry.getValue();
+      if (suspect.crashCount() > 0 && crashes.size() < MAX_REPORTED_PARTS) {
+        crashes.put(entry.getKey(), suspect.newestCrashAges(now));
+      }
+      if (suspect.ownSoundAnswer.isAfter(Instant.MIN) && soundAnswers.size() < MAX_REPORTED_PARTS) {
+        soundAnswers.put(entry.getKey(), Duration.between(suspect.ownSoundAnswer, now));
+      }
+    }
+    return new CrashReport(crashes, soundAnswers);
+  }
+
+  /** Adds what another node knows. */
+  public void merge(CrashReport report, Instant now) {
+    report
+        .crashes()
+        .forEach(
+            (part, ages) -> {
+              Suspect suspect = suspect(part);
+              ages.forEach((crash, age) -> suspect.addCrash(crash, now.minus(age)));
+            });
+    report
+        .soundAnswers()
+        .forEach(
+            (part, age) -> {
+              Suspect suspect = suspects.get(part);
+              if (suspect != null) {
+                suspect.clearBefore(now.minus(age));
+              }
+            });
+    removeForgotten(now);
+    removeExcess();
+  }
+
+  private Suspect suspect(String part) {
+    return suspects.computeIfAbsent(part, any -> new Suspect());
+  }
+
+  private void removeForgotten(Instant now) {
+    suspects
+        .values()
+        .removeIf(
+            suspect -> {
+              suspect.forgetCrashes(now);
+              return suspect.crashCount() == 0 && suspect.isClearedLongAgo(now);
+            });
+  }
+
+  private void removeExcess() {
+    if (suspects.size() > MAX_PARTS) {
+      suspects.entrySet().stream()
+          .sorted(Map.Entry.comparingByValue(MOST_SUSPECT_FIRST))
+          .skip(MAX_PARTS)
+          .map(Map.Entry::getKey)
+          .toList()
+          .forEach(suspects::remove);
+    }
+  }
+
+  private static Instant later(Instant a, Instant b) {
+    return a.isAfter(b) ? a : b;
+  }
+
+  private static final class Suspect {
+    private final Map<String, Instant> crashes = new LinkedHashMap<>();
+    private Instant clearedUntil = Instant.MIN;
+    private Instant ownSoundAnswer = Instant.MIN;
+
+    int crashCount() {
+      return crashes.size();
+    }
+
+    Instant newestCrash() {
+      return crashes.values().stream().max(Comparator.naturalOrder()).orElse(Instant.MIN);
+    }
+
+    void addCrash(String crash, Instant at) {
+      if (at.isAfter(clearedUntil) && crashes.putIfAbsent(crash, at) == null) {
+        crashes.values().stream()
+            .sorted(Comparator.reverseOrder())
+            .skip(MAX_CRASHES_PER_PART)
+            .toList()
+            .forEach(crashes.values()::remove);
+      }
+    }
+
+    void clearBefore(Instant begunAt) {
+      clearedUntil = later(clearedUntil, begunAt);
+      crashes.values().removeIf(at -> !at.isAfter(clearedUntil));
+    }
+
+    void forgetCrashes(Instant now) {
+      crashes.values().removeIf(at -> Duration.between(at, now).compareTo(CRASH_MEMORY) > 0);
+    }
+
+    boolean isClearedLongAgo(Instant now) {
+      return clearedUntil.equals(Instant.MIN)
+          || Duration.between(clearedUntil, now).compareTo(CRASH_MEMORY) > 0;
+    }
+
+    Map<String, Duration> newestCrashAges(Instant now) {
+      Map<String, Duration> ages = new HashMap<>();
+      crashes.entrySet().stream()
+          .sorted(Map.Entry.<String, Instant>comparingByValue().reversed())
+          .limit(BLOCKING_CRASHES)
+          .forEach(crash -> ages.put(crash.getKey(), Duration.between(crash.getValue(), now)));
+      return ages;
+    }
+  }
+}
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
@@ -26,6 +26,7 @@
  * @param nextPartChange sequence number that the node's next part change will have
  * @param topics how far the node has read the topics that it reads for its peers
  * @param runnerClockMillis the runners' clock at the time of the report, empty if unknown
+ * @param crashReport prompt parts under which runners crashed
  */
 public record PeerReport(
     String node,
@@ -42,7 +43,8 @@
     Map<Endpoint, Duration> holderReports,
     long nextPartChange,
     List<TopicProgress> topics,
-    OptionalLong runnerClockMillis) {
+    OptionalLong runnerClockMillis,
+    CrashReport crashReport) {
 
   /** Creates a report with copies of the collections. */
   public PeerReport {
--- /dev/null
+++ b/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
@@ -0,0 +1,186 @@
+package org.dragonflyhill.core.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests which prompt parts are blocked after runners crashed. */
+public final class CrashSuspectsTest {
+
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+  private static final List<String> BAD_PROMPT = List.of("m/common", "m/bad");
+  private static final List<String> SOUND_PROMPT = List.of("m/common", "m/other");
+
+  private static Instant at(long millis) {
+    return START.plusMillis(millis);
+  }
+
+  private static void crash(CrashSuspects suspects, int number, long millis) {
+    suspects.recordCrash("crash-" + number, BAD_PROMPT, at(millis));
+  }
+
+  /** Only the part that sound answers lack is blocked, not those that it shares prompts with. */
+  @Test
+  public void blocksThePartThatSoundAnswersLack() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      assertEquals(suspects.blockedPart(BAD_PROMPT, at(i * 100)), Optional.empty());
+      crash(suspects, i, i * 100);
+      suspects.recordSoundAnswer(SOUND_PROMPT, at(i * 100 + 50));
+    }
+    assertEquals(suspects.blockedPart(BAD_PROMPT, at(400)), Optional.of("m/bad"));
+    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(400)), Optional.empty());
+  }
+
+  /** One crash that several nodes or requests report counts once. */
+  @Test
+  public void countsEachCrashOnce() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < 10; i++) {
+      crash(suspects, 1, i);
+    }
+    assertEquals(suspects.blockedPart(BAD_PROMPT, at(20)), Optional.empty());
+  }
+
+  /** A part that was sound for a while and then crashes runners is blocked all the same. */
+  @Test
+  public void blocksPartThatTurnsBad() {
+    var suspects = new CrashSuspects();
+    crash(suspects, 0, 0);
+    suspects.recordSoundAnswer(BAD_PROMPT, at(100));
+    for (int i = 1; i <= CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(suspects, i, 1_000 + i);
+    }
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(2_000)).isPresent());
+  }
+
+  /** An answer that began before a crash and ends after it says nothing about its part. */
+  @Test
+  public void answersBegunBeforeCrashDoNotClearIt() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(suspects, i, 100 + i);
+    }
+    suspects.recordSoundAnswer(BAD_PROMPT, at(50));
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(200)).isPresent());
+  }
+
+  /** After a crash is forgotten, a single further crash blocks the part again. */
+  @Test
+  public void forgottenCrashAllowsOneTrial() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(suspects, i, i * 1_000);
+    }
+    long later = CrashSuspects.CRASH_MEMORY.toMillis() + 500;
+    assertEquals(suspects.blockedPart(BAD_PROMPT, at(later)), Optional.empty());
+    crash(suspects, 9, later + 1);
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(later + 2)).isPresent());
+  }
+
+  /** Numbers of nodes that see the crashes in turn. */
+  @DataProvider
+  public Object[][] nodeCounts() {
+    return new Object[][] {{2}, {3}, {4}, {5}};
+  }
+
+  /** Each node sees another crash; after one round of reports all of them block the part. */
+  @Test(dataProvider = "nodeCounts")
+  public void nodesShareCrashes(int nodes) {
+    List<CrashSuspects> all = new ArrayList<>();
+    for (int i = 0; i < nodes; i++) {
+      all.add(new CrashSuspects());
+    }
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(all.get(i % nodes), i, i);
+    }
+    exchange(all, 100);
+    for (CrashSuspects node : all) {
+      assertEquals(node.blockedPart(BAD_PROMPT, at(100)), Optional.of("m/common"));
+    }
+    // Each node sees sound answers with the common part.
+    all.forEach(node -> node.recordSoundAnswer(SOUND_PROMPT, at(120)));
+    exchange(all, 200);
+    for (CrashSuspects node : all) {
+      assertEquals(node.blockedPart(BAD_PROMPT, at(200)), Optional.of("m/bad"));
+    }
+  }
+
+  private static void exchange(List<CrashSuspects> nodes, long millis) {
+    List<CrashReport> reports = nodes.stream().map(node -> node.report(at(millis))).toList();
+    nodes.forEach(node -> reports.forEach(report -> node.merge(report, at(millis + 1))));
+  }
+
+  /** A sound answer at one node unblocks a part at the others. */
+  @Test
+  public void soundAnswerUnblocksAtPeers() {
+    var one = new CrashSuspects();
+    var other = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(one, i, i);
+    }
+    exchange(List.of(one, other), 10);
+    other.recordSoundAnswer(List.of("m/common"), at(20));
+    exchange(List.of(one, other), 30);
+    assertEquals(one.blockedPart(List.of("m/common"), at(40)), Optional.empty());
+    assertTrue(one.blockedPart(BAD_PROMPT, at(40)).isPresent());
+  }
+
+  /** A node that restarts learns what is blocked from one report of any peer. */
+  @Test
+  public void restartedNodeLearnsFromPeerThatSawNoCrash() {
+    var one = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(one, i, i);
+    }
+    var witness = new CrashSuspects();
+    witness.merge(one.report(at(10)), at(11));
+    var restarted = new CrashSuspects();
+    restarted.merge(witness.report(at(20)), at(21));
+    assertTrue(restarted.blockedPart(BAD_PROMPT, at(30)).isPresent());
+  }
+
+  /** Crashes and sound answers do not move in time however often nodes tell them each other. */
+  @Test
+  public void repeatedExchangeDoesNotMoveCrashes() {
+    var one = new CrashSuspects();
+    var other = new CrashSuspects();
+    crash(one, 0, 0);
+    for (int i = 0; i < 5_000; i++) {
+      exchange(List.of(one, other), 100 + i * 10);
+    }
+    other.recordSoundAnswer(BAD_PROMPT, at(60));
+    assertEquals(other.report(at(60_000)).crashes().size(), 0);
+  }
+
+  /** Memory and reports stay bounded whatever parts prompts name; the worst part stays known. */
+  @Test
+  public void memoryIsBounded() {
+    var suspects = new CrashSuspects();
+    Random random = new Random(1);
+    for (int i = 0; i < 5_000; i++) {
+      List<String> parts = new ArrayList<>(List.of("m/bad"));
+      for (int j = 0; j < 5; j++) {
+        parts.add("m/" + Long.toHexString(random.nextLong()));
+      }
+      suspects.recordCrash("crash-" + i, parts, at(i));
+    }
+    CrashReport report = suspects.report(at(5_000));
+    assertEquals(report.crashes().size(), CrashSuspects.MAX_REPORTED_PARTS);
+    assertTrue(report.crashes().containsKey("m/bad"));
+    assertTrue(suspects.blockedPart(List.of("m/bad"), at(5_000)).isPresent());
+    assertFalse(suspects.isEmpty());
+    Instant forgotten = at(6_000).plus(CrashSuspects.CRASH_MEMORY).plus(Duration.ofSeconds(1));
+    assertEquals(suspects.report(forgotten), CrashReport.EMPTY);
+    assertTrue(suspects.isEmpty());
+  }
+}
--- a/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
@@ -41,6 +41,7 @@
         Map.of(),
         0,
         List.of(),
-        OptionalLong.empty());
+        OptionalLong.empty(),
+        CrashReport.EMPTY);
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.dragonflyhill.core.relay.CrashReport;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartFeed;
@@ -27,7 +28,7 @@
 final class PeerDatagramCodec {
 
   /** Version of the encoding. Datagrams of other versions are rejected. */
-  private static final int SCHEMA_VERSION = 4;
+  private static final int SCHEMA_VERSION = 5;
 
   private static final int KIND_REPORT = 0;
   private static final int KIND_CHANGES = 1;
@@ -143,6 +144,40 @@
     }
     packer.packBoolean(report.runnerClockMillis().isPresent());
     packer.packLong(report.runnerClockMillis().orElse(0));
+    packCrashReport(report.crashReport(), packer);
+  }
+
+  private static void packCrashReport(CrashReport report, MessagePacker packer) throws IOException {
+    packer.packMapHeader(report.crashes().size());
+    for (Map.Entry<String, Map<String, Duration>> part : report.crashes().entrySet()) {
+      packer.packString(part.getKey());
+      packAges(part.getValue(), packer);
+    }
+    packAges(report.soundAnswers(), packer);
+  }
+
+  private static CrashReport unpackCrashReport(MessageUnpacker unpacker) throws IOException {
+    Map<String, Map<String, Duration>> crashes = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      crashes.put(unpacker.unpackString(), unpackAges(unpacker));
+    }
+    return new CrashReport(crashes, unpackAges(unpacker));
+  }
+
+  private static void packAges(Map<String, Duration> ages, MessagePacker packer)
+      throws IOException {
+    packer.packMapHeader(ages.size());
+    for (Map.Entry<String, Duration> entry : ages.entrySet()) {
+      packer.packString(entry.getKey()).packLong(entry.getValue().toMillis());
+    }
+  }
+
+  private static Map<String, Duration> unpackAges(MessageUnpacker unpacker) throws IOException {
+    Map<String, Duration> ages = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      ages.put(unpacker.unpackString(), Duration.ofMillis(unpacker.unpackLong()));
+    }
+    return ages;
   }
 
   private static PeerReport unpackReport(MessageUnpacker unpacker) throws IOException {
@@ -184,6 +219,7 @@
     }
     final boolean hasClock = unpacker.unpackBoolean();
     final long clock = unpacker.unpackLong();
+    final CrashReport crashReport = unpackCrashReport(unpacker);
     return new PeerReport(
         node,
         zone,
@@ -199,7 +235,8 @@
         holders,
         nextPartChange,
         topics,
-        hasClock ? OptionalLong.of(clock) : OptionalLong.empty());
+        hasClock ? OptionalLong.of(clock) : OptionalLong.empty(),
+        crashReport);
   }
 
   private static void packTopic(TopicProgress progress, MessagePacker packer) throws IOException {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -223,7 +223,8 @@
         assignment.recentReads(now),
         state.partChanges().nextSequence(),
         state.sharedTopics().progress(now),
-        state.runnerClockMillis());
+        state.runnerClockMillis(),
+        state.crashSuspects().report(now));
   }
 
   private void onDatagram(PeerDatagram datagram, Peer sender) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.AnnouncedWeights;
+import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.PartChange;
@@ -61,6 +62,7 @@
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private final AnnouncedWeights announcedWeights = new AnnouncedWeights();
   private final WeightsDeadline weightsDeadline;
+  private final CrashSuspects crashSuspects = new CrashSuspects();
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
   private boolean isLogReachable;
@@ -159,6 +161,12 @@
                 versions.forEach(
                     (version, age) -> announcedWeights.announce(model, version, now().minus(age))));
     report.runnerClockMillis().ifPresent(this::recordRunnerClock);
+    crashSuspects.merge(report.crashReport(), now());
+  }
+
+  /** Returns the prompt parts under which runners crashed. */
+  CrashSuspects crashSuspects() {
+    return crashSuspects;
   }
 
   /** Returns whether the log service is reachable. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -74,6 +74,9 @@
   /** Age of an answer up to which its prompt may be the cause if its runner crashes. */
   private static final Duration SUSPECT_ANSWER_AGE = Duration.ofMillis(500);
 
+  /** Age of an answer from which its prompt is not the cause of a later crash. */
+  private static final Duration SOUND_ANSWER_AGE = Duration.ofSeconds(1);
+
   /** Time after sending within which fetches must end, since the parts may be freed afterwards. */
   private static final Duration MAX_FETCH_TIME = Duration.ofMillis(2_000);
 
@@ -197,6 +200,11 @@
       return;
     }
     Instant now = state.now();
+    Optional<String> crashingPart = crashingPart(now);
+    if (crashingPart.isPresent()) {
+      failCrashingPrompt(crashingPart.get());
+      return;
+    }
     List<Runner> candidates = untriedRunners();
     Optional<Attempt> next = chooseRunner(candidates, now);
     if (next.isEmpty()) {
@@ -231,6 +239,28 @@
             error -> onConnectFailed(chosen, error));
   }
 
+  /** Returns a part of the prompt under which runners crash, if one is known. */
+  private Optional<String> crashingPart(Instant now) {
+    return state.crashSuspects().isEmpty()
+        ? Optional.empty()
+        : requestHeaders
+            .prompt()
+            .flatMap(prompt -> state.crashSuspects().blockedPart(prompt.sharedPartKeys(), now));
+  }
+
+  /** Fails the request with a status that does not tell the caller to try again. */
+  private void failCrashingPrompt(String part) {
+    if (isResponseStarted) {
+      abortResponse("prompt_crashes_runners");
+      return;
+    }
+    refuse(
+        HttpResponseStatus.INTERNAL_SERVER_ERROR,
+        "prompt_crashes_runners",
+        "runners crash under part " + part + " of the prompt",
+        Optional.empty());
+  }
+
   private void failWithoutRunner(boolean hasCandidates) {
     Optional<Duration> backoffLeft = state.backoffLeft(pool.name());
     if (hasCandidates) {
@@ -424,6 +454,9 @@
     if (!now.isBefore(deadline)) {
       return Optional.of("deadline exceeded");
     }
+    if (crashingPart(now).isPresent()) {
+      return Optional.of("prompt crashes runners");
+    }
     return untriedRunners().isEmpty() ? Optional.of("no untried runner") : Optional.empty();
   }
 
@@ -526,6 +559,12 @@
       onTimeout();
       return;
     }
+    currentAttempt.ifPresent(Attempt::checkSoundness);
+    Optional<String> crashingPart = isResponseStarted ? Optional.empty() : crashingPart(now);
+    if (crashingPart.isPresent()) {
+      failCrashingPrompt(crashingPart.get());
+      return;
+    }
     if (silentAttempt.filter(silent -> silent.hasOutlivedWeights(now)).isPresent()
         || currentAttempt.filter(current -> current.isHandoverOver(now)).isPresent()) {
       cancelSilentAttempt();
@@ -644,6 +683,8 @@
     private Instant answeredAt = Instant.MAX;
     private boolean hasResponse;
     private boolean isSilenceReported;
+    private boolean isSuccess;
+    private boolean isSoundRecorded;
     private boolean isEnded;
 
     Attempt(Runner runner, RunnerSelector.Selection selection) {
@@ -717,6 +758,24 @@
       return Duration.between(answeredAt, state.now());
     }
 
+    /** Records the answer as sound once it has gone on for long enough. */
+    void checkSoundness() {
+      if (isSuccess && !isSoundRecorded && answerAge().compareTo(SOUND_ANSWER_AGE) >= 0) {
+        recordSoundAnswer();
+      }
+    }
+
+    private void recordSoundAnswer() {
+      isSoundRecorded = true;
+      if (!state.crashSuspects().isEmpty()) {
+        requestHeaders
+            .prompt()
+            .ifPresent(
+                prompt ->
+                    state.crashSuspects().recordSoundAnswer(prompt.sharedPartKeys(), answeredAt));
+      }
+    }
+
     /** Returns whether the runner had time to answer before a silent attempt is cancelled. */
     boolean isHandoverOver(Instant now) {
       return connection.isPresent()
@@ -773,6 +832,7 @@
       if (!hasResponse) {
         hasResponse = true;
         answeredAt = now;
+        isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
         runner.answerStarted(rank(), prefillTokens(), now);
         if (selection != null && !responseHeaders.isNotRun()) {
           state
@@ -949,6 +1009,9 @@
         onBrokenOff("stream ended in the middle of an event");
         return;
       }
+      if (isSuccess && !isSoundRecorded) {
+        recordSoundAnswer();
+      }
       currentAttempt = Optional.empty();
       state
           .metrics()
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
@@ -47,6 +47,8 @@
   }
 
   private void onCrashed(Runner runner, Set<String> parts) {
+    String crash = runner.id() + '@' + runner.info().startedAtMillis();
+    state.crashSuspects().recordCrash(crash, parts, state.now());
     state.metrics().count("relay.runner_crashed");
     state
         .log()
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import org.dragonflyhill.core.relay.CrashReport;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartFeed;
@@ -53,7 +54,10 @@
                   9,
                   Duration.ofMillis(30),
                   List.of(new TopicProgress.Entry(5, "k", new byte[] {1, 2})))),
-          OptionalLong.of(123_456));
+          OptionalLong.of(123_456),
+          new CrashReport(
+              Map.of("m/bad0", Map.of("i-1@17", Duration.ofMillis(40))),
+              Map.of("m/c0", Duration.ofMillis(7))));
 
   /** One datagram of each kind. */
   @DataProvider
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.dragonflyhill.core.relay.CrashReport;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.PeerReport;
 import org.dragonflyhill.core.relay.RunnerInfo;
@@ -66,7 +67,8 @@
         Map.of(),
         0,
         List.of(),
-        OptionalLong.empty());
+        OptionalLong.empty(),
+        CrashReport.EMPTY);
   }
 
   /** A runner that a peer knows to be draining gets no requests, but its next process does. */
