Say in each violation whether the refused copy itself or another copy ran

A violation "executed=no, but it was executed" now names which of the two it was and the executions of the service's record. What counts as a violation is unchanged.

--- a/proofs/src/test/java/org/dragonflyhill/proofs/ExecutionChecker.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/ExecutionChecker.java
@@ -125,7 +125,8 @@
     boolean ranBefore = runs.stream().anyMatch(run -> run.atMillis() < answer.atMillis());
     boolean ranItself = runs.stream().anyMatch(run -> run.requestId().equals(answer.requestId()));
     if (saysNo && (ranBefore || ranItself)) {
-      return Optional.of(answer + ", but it was executed");
+      String which = ranItself ? "this copy" : "another copy, before the answer";
+      return Optional.of(answer + ", but it was executed (" + which + "): " + runs);
     }
     if (saysYes && runs.isEmpty()) {
       return Optional.of(answer + ", but it was not executed");
