Do not report a request as not run before the log has been read

Copies of orders that node-a had run were sent to a node that had just started. It answered 503, no_configuration, executed: no.

Cause: without a configuration a node refuses before it looks at the claims, and said "no" although another node may have run a copy. A query for an outcome got "no" too. Each request ran once. The test saw this only when its first request came before the node's first read of the log.

Such a node now answers "unknown" to a request with an Idempotency-Key and to a query, with Retry-After, which was missing. The same holds for claims_not_read. A request without a key still gets "no".

The test now also starts a node while the log refuses, so that it always meets this case. The check is unchanged.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/AuthenticationFilter.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/AuthenticationFilter.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
 import java.util.HexFormat;
 import java.util.Optional;
 import org.dragonflyhill.core.ConfigurationObject.Organisation;
@@ -17,6 +18,8 @@
  */
 public final class AuthenticationFilter implements RequestFilter {
 
+  private static final Duration NO_CONFIGURATION_RETRY_AFTER = Duration.ofSeconds(1);
+
   private final ConfigurationController configuration;
 
   /** Creates a filter that looks up keys in the current configuration. */
@@ -27,7 +30,7 @@
   @Override
   public Mono<Reply> handle(RequestContext context, Handler next) {
     if (configuration.state().version() < 0) {
-      return problem(RefusalReason.NO_CONFIGURATION, "this node has no configuration yet");
+      return problem(noConfiguration(context));
     }
     Optional<Organisation> organisation =
         context
@@ -36,7 +39,8 @@
             .map(AuthenticationFilter::sha256)
             .flatMap(this::organisationByKeyHash);
     if (organisation.isEmpty()) {
-      return problem(RefusalReason.UNAUTHENTICATED, "the bearer key is missing or unknown");
+      return problem(
+          Refusal.notRun(RefusalReason.UNAUTHENTICATED, "the bearer key is missing or unknown"));
     }
     return next.handle(context.withOrganisation(organisation.get()));
   }
@@ -45,8 +49,21 @@
     return configuration.view().organisationByKeyHash(hash);
   }
 
-  private static Mono<Reply> problem(RefusalReason reason, String detail) {
-    return Mono.just(new Reply.Problem(Refusal.notRun(reason, detail)));
+  // Another node may have run a copy of a request with a key. This node cannot look that up yet.
+  private static Refusal noConfiguration(RequestContext context) {
+    boolean mayHaveCopies =
+        context.headers().idempotencyKey().isPresent()
+            || context.call() instanceof Call.OutcomeQuery;
+    String detail = "this node has no configuration yet";
+    Refusal refusal =
+        mayHaveCopies
+            ? Refusal.unknown(RefusalReason.NO_CONFIGURATION, detail)
+            : Refusal.notRun(RefusalReason.NO_CONFIGURATION, detail);
+    return refusal.withRetryAfter(NO_CONFIGURATION_RETRY_AFTER);
+  }
+
+  private static Mono<Reply> problem(Refusal refusal) {
+    return Mono.just(new Reply.Problem(refusal));
   }
 
   /** Returns the lower-case hexadecimal SHA-256 digest of a text. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/ClaimFilter.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/ClaimFilter.java
@@ -88,7 +88,7 @@
       String digest,
       Either<Refusal, ClaimController.Claim> claimed) {
     if (claimed.isLeft()) {
-      return problem(claimed.getLeft());
+      return problem(withoutClaim(claimed.getLeft()));
     }
     ClaimController.Claim claim = claimed.get();
     return claim.isWon()
@@ -96,6 +96,13 @@
         : Mono.just(ClaimReplies.forDuplicate(claims, claim.entry(), digest, clock.instant()));
   }
 
+  // A node that has not read all claims cannot tell whether another node has run a copy.
+  private static Refusal withoutClaim(Refusal refusal) {
+    return refusal.reason() == RefusalReason.CLAIMS_NOT_READ
+        ? withUnknownExecution(refusal)
+        : refusal;
+  }
+
   private Duration timeLeft(RequestContext context) {
     Duration remaining =
         Duration.between(clock.instant(), context.requiredClassification().deadline());
--- a/daemon/src/test/java/org/dragonflyhill/daemon/ClaimFilterTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/ClaimFilterTest.java
@@ -38,6 +38,12 @@
   public void create() {
     runs.set(0);
     log = new FakeLog();
+    createWithoutReading();
+    claims.start();
+    Awaitility.await().until(() -> claims.notReadyRefusal(NOW).isEmpty());
+  }
+
+  private void createWithoutReading() {
     claims =
         new ClaimController(
             log,
@@ -47,8 +53,6 @@
             ClaimStepFault.NONE,
             new NodeMetrics(),
             () -> NOW);
-    claims.start();
-    Awaitility.await().until(() -> claims.notReadyRefusal(NOW).isEmpty());
     var runner = new ClaimRunner(claims, ClaimStepFault.NONE, new DrainController(), () -> NOW);
     filter = new ClaimFilter(claims, runner, () -> NOW);
   }
@@ -154,4 +158,16 @@
     assertEquals(runs.get(), 1);
     assertTrue(claims.entriesWithoutOutcome().size() == 1);
   }
+
+  @Test
+  public void copyOfExecutedRequestIsNotReportedAsNotRunBeforeClaimsAreRead() {
+    assertEquals(handle(CALL), DONE);
+    claims.close();
+    createWithoutReading();
+    Refusal refusal = refusal(handle(CALL));
+    assertEquals(refusal.reason(), RefusalReason.CLAIMS_NOT_READ);
+    assertEquals(refusal.execution(), Execution.UNKNOWN);
+    assertTrue(refusal.retryAfter().isPresent());
+    assertEquals(runs.get(), 1);
+  }
 }
--- a/proofs/src/test/java/org/dragonflyhill/proofs/NonRepeatableProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/NonRepeatableProofTest.java
@@ -214,9 +214,25 @@
       load.join();
       fresh.kill();
     }
+    copiesThroughNodeThatHasNotReadTheLog(orders);
     report("fresh node started in the middle", rounds);
   }
 
+  // Whether the nodes above have read the log before their first request depends on the load of the
+  // machine. This node certainly has not.
+  private void copiesThroughNodeThatHasNotReadTheLog(int orders) {
+    deployment.setFaults(deployment.log, "{\"refuse\":-1}");
+    ProcessHelper unread = deployment.startNodeWithoutWaiting("fresh-unread");
+    for (int i = 0; i < orders; i++) {
+      ExecutionChecker.Response copy = checker.send(unread, "fresh-0-" + i);
+      assertEquals(copy.reason(), "no_configuration", copy.toString());
+    }
+    deployment.setFaults(deployment.log, "{}");
+    for (int i = 0; i < orders; i++) {
+      assertEquals(checker.sendUntilAnswered(unread, "fresh-0-" + i).status(), 200);
+    }
+  }
+
   private void awaitServiceUsable(int round) {
     Awaitility.await()
         .pollInterval(Duration.ofMillis(200))
