Suspect the unanswered prompts of a crashed runner as well

The head of an answer that a runner has begun can be lost in its crash. Such a crash left no evidence, so prompts of that kind were never blocked: stopsPromptsThatCrashRunners failed with no event before the crash, as no crash was recorded within 10 s.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -1038,7 +1038,8 @@
       runner.recordFailure(1, state.now());
       mayHaveRun = true;
       logAttempt("answer_failed", this, reason);
-      if (hasResponse && answerAge().compareTo(SUSPECT_ANSWER_AGE) <= 0) {
+      // The head of an answer may be lost in the crash, so unanswered prompts are suspect too.
+      if (!hasResponse || answerAge().compareTo(SUSPECT_ANSWER_AGE) <= 0) {
         requestHeaders
             .prompt()
             .ifPresent(
