Detect the crash of a runner that still accepts a connection

A process that ends closes its connections one after the other, and its listening socket may be the last. A connection opened in between was taken as a sign of life, so the crash left no evidence; seen once in stopsPromptsThatCrashRunners. A runner counts as alive now if it keeps that connection for 0.1 s or accepts another one after that. detectsCrashOfRunnerThatStillAcceptsConnections failed before.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -46,7 +46,7 @@
     this.state = state;
     this.headerCodec = headerCodec;
     this.runnerConnections = new RunnerConnectionPool(loop, headerCodec, state.log(), state::now);
-    this.crashDetector = new RunnerCrashDetector(state, runnerConnections);
+    this.crashDetector = new RunnerCrashDetector(loop, state, runnerConnections);
     serverChannel =
         new ServerBootstrap()
             .group(loop)
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
@@ -1,10 +1,13 @@
 package org.dragonflyhill.daemon.relay;
 
+import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import org.dragonflyhill.core.relay.Runner;
 
 /**
@@ -13,19 +16,24 @@
  */
 final class RunnerCrashDetector {
 
+  /** Time after which a connection to a process that was just ending is closed. */
+  private static final Duration SETTLING_TIME = Duration.ofMillis(100);
+
+  private final EventLoop loop;
   private final RelayState state;
   private final RunnerConnectionPool connections;
 
   /** Prompt parts of the answers that broke off, by the runner that is being checked. */
   private final Map<String, Set<String>> partsByRunner = new HashMap<>();
 
-  RunnerCrashDetector(RelayState state, RunnerConnectionPool connections) {
+  RunnerCrashDetector(EventLoop loop, RelayState state, RunnerConnectionPool connections) {
+    this.loop = loop;
     this.state = state;
     this.connections = connections;
   }
 
   /**
-   * Checks a runner after an answer broke off that had just begun.
+   * Checks a runner after an answer broke off that had just begun, or had not begun yet.
    *
    * @param runner the runner
    * @param parts keys of the shared parts of the answer's prompt
@@ -39,14 +47,36 @@
     partsByRunner.put(runner.id(), new TreeSet<>(parts));
     connections.open(
         runner.info().endpoint(),
-        connection -> {
-          partsByRunner.remove(runner.id());
-          connections.release(connection);
-        },
-        error -> onCrashed(runner, partsByRunner.remove(runner.id())));
+        connection ->
+            loop.schedule(
+                () -> onSettled(runner, connection),
+                SETTLING_TIME.toMillis(),
+                TimeUnit.MILLISECONDS),
+        error -> onCrashed(runner));
+  }
+
+  /**
+   * Ends the check if the runner kept the connection. Otherwise the runner may have had too many
+   * connections or may have ended just after it accepted this one, which another one tells.
+   */
+  private void onSettled(Runner runner, RunnerConnection connection) {
+    if (connection.channel().isActive()) {
+      onAlive(runner, connection);
+    } else {
+      connections.open(
+          runner.info().endpoint(),
+          another -> onAlive(runner, another),
+          error -> onCrashed(runner));
+    }
+  }
+
+  private void onAlive(Runner runner, RunnerConnection connection) {
+    partsByRunner.remove(runner.id());
+    connections.release(connection);
   }
 
-  private void onCrashed(Runner runner, Set<String> parts) {
+  private void onCrashed(Runner runner) {
+    Set<String> parts = partsByRunner.remove(runner.id());
     String crash = runner.id() + '@' + runner.info().startedAtMillis();
     state.crashSuspects().recordCrash(crash, parts, state.now());
     state.metrics().count("relay.runner_crashed");
