Stop reporting prompt parts that were at a single crash long ago

After a crash, up to 32 parts that were there by chance, and as many sound answers, would go into each report for 10 minutes, every 150 ms to every peer. A part with one crash is reported for 10 s now, a sound answer for 3 s after it has cleared a crash or a peer has reported one that it clears.

--- a/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
@@ -36,6 +36,15 @@
   /** Maximum number of suspect parts, and of cleared ones, in a report. */
   static final int MAX_REPORTED_PARTS = 32;
 
+  /**
+   * Time for which a part with a single crash is reported. Most of these parts were only by chance
+   * at a runner that crashed.
+   */
+  static final Duration SINGLE_CRASH_REPORTING = Duration.ofSeconds(10);
+
+  /** Time for which a sound answer is reported after it cleared a crash, also one of a peer. */
+  private static final Duration SOUND_ANSWER_REPORTING = Duration.ofSeconds(3);
+
   private static final Comparator<Suspect> MOST_SUSPECT_FIRST =
       Comparator.comparingInt(Suspect::crashCount).thenComparing(Suspect::newestCrash).reversed();
 
@@ -69,8 +78,7 @@
     for (String part : parts) {
       Suspect suspect = suspects.get(part);
       if (suspect != null) {
-        suspect.ownSoundAnswer = later(suspect.ownSoundAnswer, begunAt);
-        suspect.clearBefore(begunAt);
+        suspect.recordSoundAnswer(begunAt);
       }
     }
   }
@@ -100,10 +108,10 @@
             .toList();
     for (Map.Entry<String, Suspect> entry : sorted) {
       Suspect suspect = entry.getValue();
-      if (suspect.crashCount() > 0 && crashes.size() < MAX_REPORTED_PARTS) {
+      if (suspect.isReportable(now) && crashes.size() < MAX_REPORTED_PARTS) {
         crashes.put(entry.getKey(), suspect.newestCrashAges(now));
       }
-      if (suspect.ownSoundAnswer.isAfter(Instant.MIN) && soundAnswers.size() < MAX_REPORTED_PARTS) {
+      if (suspect.isSoundAnswerMissedByPeer(now) && soundAnswers.size() < MAX_REPORTED_PARTS) {
         soundAnswers.put(entry.getKey(), Duration.between(suspect.ownSoundAnswer, now));
       }
     }
@@ -117,7 +125,7 @@
         .forEach(
             (part, ages) -> {
               Suspect suspect = suspect(part);
-              ages.forEach((crash, age) -> suspect.addCrash(crash, now.minus(age)));
+              ages.forEach((crash, age) -> suspect.addReportedCrash(crash, now.minus(age), now));
             });
     report
         .soundAnswers()
@@ -157,6 +165,10 @@
     }
   }
 
+  private static boolean isWithin(Instant at, Duration age, Instant now) {
+    return at.isAfter(now.minus(age));
+  }
+
   private static Instant later(Instant a, Instant b) {
     return a.isAfter(b) ? a : b;
   }
@@ -165,6 +177,7 @@
     private final Map<String, Instant> crashes = new LinkedHashMap<>();
     private Instant clearedUntil = Instant.MIN;
     private Instant ownSoundAnswer = Instant.MIN;
+    private Instant clearedCrashAt = Instant.MIN;
 
     int crashCount() {
       return crashes.size();
@@ -174,6 +187,34 @@
       return crashes.values().stream().max(Comparator.naturalOrder()).orElse(Instant.MIN);
     }
 
+    boolean isReportable(Instant now) {
+      return crashes.size() > 1
+          || crashes.size() == 1 && isWithin(newestCrash(), SINGLE_CRASH_REPORTING, now);
+    }
+
+    void recordSoundAnswer(Instant begunAt) {
+      int before = crashes.size();
+      ownSoundAnswer = later(ownSoundAnswer, begunAt);
+      clearBefore(begunAt);
+      if (crashes.size() < before) {
+        clearedCrashAt = begunAt;
+      }
+    }
+
+    /** Returns whether peers may hold a crash against the part that a sound answer has cleared. */
+    boolean isSoundAnswerMissedByPeer(Instant now) {
+      return ownSoundAnswer.isAfter(Instant.MIN)
+          && isWithin(clearedCrashAt, SOUND_ANSWER_REPORTING, now);
+    }
+
+    void addReportedCrash(String crash, Instant at, Instant now) {
+      if (at.isAfter(clearedUntil)) {
+        addCrash(crash, at);
+      } else {
+        clearedCrashAt = now;
+      }
+    }
+
     void addCrash(String crash, Instant at) {
       if (at.isAfter(clearedUntil) && crashes.putIfAbsent(crash, at) == null) {
         crashes.values().stream()
--- a/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
@@ -162,6 +162,35 @@
     assertEquals(other.report(at(60_000)).crashes().size(), 0);
   }
 
+  /** Parts that were by chance at one crashed runner are not reported for as long as they count. */
+  @Test
+  public void singleCrashIsReportedForShortTime() {
+    var suspects = new CrashSuspects();
+    crash(suspects, 0, 0);
+    long end = CrashSuspects.SINGLE_CRASH_REPORTING.toMillis();
+    assertTrue(suspects.report(at(end - 1)).crashes().containsKey("m/bad"));
+    assertEquals(suspects.report(at(end + 1)), CrashReport.EMPTY);
+    crash(suspects, 1, end + 200);
+    crash(suspects, 2, end + 300);
+    assertTrue(suspects.report(at(3 * end)).crashes().containsKey("m/bad"));
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(3 * end)).isPresent());
+  }
+
+  /** Sound answers are reported only while a peer still holds a crash against their parts. */
+  @Test
+  public void soundAnswersAreNotReportedForEver() {
+    var one = new CrashSuspects();
+    var other = new CrashSuspects();
+    crash(one, 0, 0);
+    exchange(List.of(one, other), 10);
+    for (int i = 1; i < 50; i++) {
+      other.recordSoundAnswer(BAD_PROMPT, at(i * 100));
+      exchange(List.of(one, other), i * 100 + 50);
+    }
+    assertEquals(one.report(at(5_000)), CrashReport.EMPTY);
+    assertEquals(other.report(at(5_000)), CrashReport.EMPTY);
+  }
+
   /** Memory and reports stay bounded whatever parts prompts name; the worst part stays known. */
   @Test
   public void memoryIsBounded() {
