Do not take a slow caller for a silent runner

While a caller takes its stream slowly, the node stops reading from the runner. After 1.2 s this counted as the runner's silence: another runner was asked to run the stream again and the sound one was ejected. If the caller read on while both held the request, reading was resumed for the new attempt only; when the node went back to the first one, it was never read again and the stream hung until its deadline.

Now no silence is measured while the node itself does not read, and it is measured anew afterwards. relay_paused counts such requests.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -69,6 +69,7 @@
     state.metrics().registerGauge("relay.waiting", queue::size);
     state.metrics().registerGauge("relay.callers", callers::size);
     state.metrics().registerGauge("relay.running", activeRequests::size);
+    state.metrics().registerGauge("relay.paused", this::pausedRequests);
     state
         .metrics()
         .registerGauge("relay.runner_connections_opened", runnerConnections::openedCount);
@@ -175,6 +176,11 @@
     return activeRequests.size();
   }
 
+  /** Returns the number of requests whose responses are not read on until the callers read more. */
+  public int pausedRequests() {
+    return (int) activeRequests.stream().filter(RelayedRequest::isReadingPaused).count();
+  }
+
   /** Stops accepting connections, and refuses new requests on those that are open. */
   public void refuseNewRequests() {
     isRefusingRequests = true;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -508,10 +508,16 @@
     }
   }
 
-  void onCallerWritabilityChanged(boolean isWritable) {
-    currentAttempt
+  /** Returns whether reading the response is paused, since the caller takes it too slowly. */
+  boolean isReadingPaused() {
+    return currentAttempt
         .flatMap(current -> current.connection)
-        .ifPresent(c -> c.pauseReading(!isWritable));
+        .filter(RunnerConnection::isReadingPaused)
+        .isPresent();
+  }
+
+  void onCallerWritabilityChanged(boolean isWritable) {
+    currentAttempt.ifPresent(current -> current.pauseReading(!isWritable));
   }
 
   /** Enforces the deadline, and retries on another runner if the present one stopped responding. */
@@ -699,8 +705,17 @@
       }
     }
 
+    /** Pauses reading the response or continues; the runner's silence is measured anew then. */
+    void pauseReading(boolean isPaused) {
+      if (connection.isPresent()) {
+        connection.get().pauseReading(isPaused);
+        lastActivityAt = state.now();
+      }
+    }
+
+    /** Returns whether the runner sends nothing, as far as this node reads what it sends. */
     boolean isSilent(Instant now) {
-      if (connection.isEmpty()) {
+      if (connection.isEmpty() || connection.get().isReadingPaused()) {
         return false;
       }
       return hasResponse
@@ -910,7 +925,7 @@
         caller.writeContent(bytes.retain());
       }
       if (!caller.isWritable()) {
-        connection.ifPresent(used -> used.pauseReading(true));
+        pauseReading(true);
       }
     }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -86,6 +86,10 @@
     channel.config().setAutoRead(!isPaused);
   }
 
+  boolean isReadingPaused() {
+    return !channel.config().isAutoRead();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
