End a silent runner's ejection when it sends data

A runner that was silent for a moment stayed left out until a probe reached it: for 0.5 s at first, up to 4 s after further ejections, while its streams went on. Its share of the requests went to the others.

Data from a runner that was ejected because of its silence now ends the ejection. One that was ejected since no connection to it could be opened still waits for a connection or a complete answer head.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -57,6 +57,7 @@
   private Optional<Instant> missingSince = Optional.empty();
   private Instant ejectedUntil = Instant.MIN;
   private int ejections;
+  private boolean isEjectedForSilence;
   private Instant backoffUntil = Instant.MIN;
   private boolean isMarkedDraining;
   private boolean isChangingWeights;
@@ -177,6 +178,9 @@
   /** Records that data was received from the runner. */
   public void recordActivity(Instant now) {
     lastActivityAt = now;
+    if (isEjectedForSilence) {
+      endEjection();
+    }
   }
 
   /**
@@ -205,8 +209,8 @@
   }
 
   /**
-   * Ejects the runner after a failed connection or after it fell silent, with exponential backoff.
-   * Does nothing if the last ejection time is not over yet.
+   * Ejects the runner after a failed connection, with exponential backoff. Does nothing if the last
+   * ejection time is not over yet.
    */
   public void eject(Instant now) {
     if (now.isBefore(ejectedUntil)) {
@@ -217,7 +221,13 @@
     ejections++;
   }
 
-  /** Returns whether the runner was ejected and no connection to it has succeeded since. */
+  /** Ejects the runner after it fell silent; any data that it sends ends the ejection. */
+  public void ejectForSilence(Instant now) {
+    isEjectedForSilence = true;
+    eject(now);
+  }
+
+  /** Returns whether the runner was ejected and has shown no sign since that it is reachable. */
   public boolean isEjected() {
     return ejections > 0;
   }
@@ -227,8 +237,9 @@
     return ejections > 0 && !now.isBefore(ejectedUntil);
   }
 
-  /** Ends the ejection, after a connection to the runner succeeded. */
+  /** Ends the ejection, after a connection to the runner succeeded or it sent data again. */
   public void endEjection() {
+    isEjectedForSilence = false;
     ejections = 0;
     ejectedUntil = Instant.MIN;
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -558,7 +558,7 @@
     if (!isReported) {
       silent.isSilenceReported = true;
       logAttempt("runner_silent", silent, "no data from the runner");
-      silent.runner.eject(now);
+      silent.runner.ejectForSilence(now);
       server.runnerConnections().closeIdle(silent.runner.info().endpoint());
     }
     Optional<String> obstacle = findRetryObstacle(now);
