Spend one retry of the budget until a request is sent for it

Each runner that could not be reached when it should take over from a silent one cost a retry of the shared budget, although nothing was sent. With many unreachable runners one request used up the node's budget, and the retries of others were denied.

A retry that was taken and not used now serves for the next runner, until data arrives for the request.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -93,6 +93,10 @@
   private Instant deadline = Instant.MAX;
   private int attempts;
   private int unreachableRunners;
+
+  /** Whether a retry was taken from the budget and nothing has been sent for it yet. */
+  private boolean hasUnusedRetry;
+
   private Optional<Attempt> currentAttempt = Optional.empty();
 
   /** An attempt whose runner fell silent, kept until the current attempt replaces it. */
@@ -334,6 +338,7 @@
                 chosen.cacheInstructions(requestHeaders.prompt()),
                 lastEventId));
     attempts++;
+    hasUnusedRetry = false;
     chosen.onSent(connection, now);
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
   }
@@ -426,9 +431,9 @@
 
   /** Takes a retry from the budget, or returns why that is not possible. */
   private Optional<String> spendRetry(Instant now) {
-    return state.retryBudget(pool.name()).tryAcquire(state.nodeCount(), now)
-        ? Optional.empty()
-        : Optional.of("retry budget exhausted");
+    hasUnusedRetry =
+        hasUnusedRetry || state.retryBudget(pool.name()).tryAcquire(state.nodeCount(), now);
+    return hasUnusedRetry ? Optional.empty() : Optional.of("retry budget exhausted");
   }
 
   private void logRetryDenied(String reason, String obstacle) {
@@ -768,6 +773,8 @@
     public void onActivity() {
       lastActivityAt = state.now();
       isSilenceReported = false;
+      // A later retry must count in the window of the budget in which it is sent.
+      hasUnusedRetry = false;
       runner.recordActivity(lastActivityAt);
       if (silentAttempt.filter(this::equals).isPresent()) {
         resumeSilentAttempt();
