Run periodic tasks again after an error

Netty ends a periodic task for good once it has thrown an exception. An error in one check of the requests would have ended the enforcement of all deadlines, the hand-over from silent runners and the probes of ejected ones until the node's restart, without a line in the log. No such error is known.

PeriodicTask logs the error as periodic_task_failed and runs the task again.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/GracefulShutdown.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/GracefulShutdown.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Shuts a node down without interrupting requests. The node reports itself as not ready at once,
@@ -56,8 +55,7 @@
     startedAt = state.now();
     state.markStopping();
     state.log().info("node_stopping", event -> event.with("running", server.runningRequests()));
-    loop.scheduleWithFixedDelay(
-        this::check, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    PeriodicTask.schedule(loop, CHECK_INTERVAL, state.log(), this::check);
   }
 
   private void check() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -20,7 +20,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.HolderAssignment;
 import org.dragonflyhill.core.relay.PartChange;
@@ -91,13 +90,8 @@
             .bind(ownAddress.host(), ownAddress.port())
             .syncUninterruptibly()
             .channel();
-    schedule(loop, PeerSchedule.REPORTS.tick(), this::sendReports);
-    schedule(loop, PeerSchedule.PART_CHANGES.tick(), this::sendChanges);
-  }
-
-  private static void schedule(EventLoop loop, Duration interval, Runnable task) {
-    loop.scheduleWithFixedDelay(
-        task, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
+    PeriodicTask.schedule(loop, PeerSchedule.REPORTS.tick(), state.log(), this::sendReports);
+    PeriodicTask.schedule(loop, PeerSchedule.PART_CHANGES.tick(), state.log(), this::sendChanges);
   }
 
   /**
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -14,7 +14,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.Runner;
@@ -76,8 +75,7 @@
   }
 
   private void scheduleEvery(Duration interval, Runnable task) {
-    loop.scheduleWithFixedDelay(
-        task, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
+    PeriodicTask.schedule(loop, interval, state.log(), task);
   }
 
   private void onConnectionOpened(SocketChannel channel) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.dragonflyhill.core.relay.LeaderLease;
 import org.dragonflyhill.core.relay.PartDirectory;
@@ -110,11 +109,7 @@
             state.log().info("duty_lost", event -> event.with("to", tail.holder().orElse("")));
           }
         });
-    loop.scheduleWithFixedDelay(
-        this::runCheck,
-        CHECK_INTERVAL.toMillis(),
-        CHECK_INTERVAL.toMillis(),
-        TimeUnit.MILLISECONDS);
+    PeriodicTask.schedule(loop, CHECK_INTERVAL, state.log(), this::runCheck);
   }
 
   private void runCheck() {
