--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -14,7 +14,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.Runner;
@@ -71,14 +70,14 @@
     state.metrics().registerGauge("relay.waiting", queue::size);
     state.metrics().registerGauge("relay.callers", callers::size);
     state.metrics().registerGauge("relay.running", activeRequests::size);
+    state.metrics().registerGauge("relay.paused", this::pausedRequests);
     state
         .metrics()
         .registerGauge("relay.runner_connections_opened", runnerConnections::openedCount);
   }
 
   private void scheduleEvery(Duration interval, Runnable task) {
-    loop.scheduleWithFixedDelay(
-        task, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
+    PeriodicTask.schedule(loop, interval, state.log(), task);
   }
 
   private void onConnectionOpened(SocketChannel channel) {
@@ -181,6 +180,11 @@
     return activeRequests.size();
   }
 
+  /** Returns the number of requests whose responses are not read on until the callers read more. */
+  public int pausedRequests() {
+    return (int) activeRequests.stream().filter(RelayedRequest::isReadingPaused).count();
+  }
+
   /** Stops accepting connections, and refuses new requests on those that are open. */
   public void refuseNewRequests() {
     isRefusingRequests = true;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -99,6 +99,10 @@
   private Instant deadline = Instant.MAX;
   private int attempts;
   private int unreachableRunners;
+
+  /** Whether a retry was taken from the budget and nothing has been sent for it yet. */
+  private boolean hasUnusedRetry;
+
   private Optional<Attempt> currentAttempt = Optional.empty();
 
   /** An attempt whose runner fell silent, kept until the current attempt replaces it. */
@@ -367,6 +371,7 @@
                 chosen.cacheInstructions(requestHeaders.prompt()),
                 lastEventId));
     attempts++;
+    hasUnusedRetry = false;
     chosen.onSent(connection, now);
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
   }
@@ -462,9 +467,9 @@
 
   /** Takes a retry from the budget, or returns why that is not possible. */
   private Optional<String> spendRetry(Instant now) {
-    return state.retryBudget(pool.name()).tryAcquire(state.nodeCount(), now)
-        ? Optional.empty()
-        : Optional.of("retry budget exhausted");
+    hasUnusedRetry =
+        hasUnusedRetry || state.retryBudget(pool.name()).tryAcquire(state.nodeCount(), now);
+    return hasUnusedRetry ? Optional.empty() : Optional.of("retry budget exhausted");
   }
 
   private void logRetryDenied(String reason, String obstacle) {
@@ -544,10 +549,16 @@
     }
   }
 
-  void onCallerWritabilityChanged(boolean isWritable) {
-    currentAttempt
+  /** Returns whether reading the response is paused, since the caller takes it too slowly. */
+  boolean isReadingPaused() {
+    return currentAttempt
         .flatMap(current -> current.connection)
-        .ifPresent(c -> c.pauseReading(!isWritable));
+        .filter(RunnerConnection::isReadingPaused)
+        .isPresent();
+  }
+
+  void onCallerWritabilityChanged(boolean isWritable) {
+    currentAttempt.ifPresent(current -> current.pauseReading(!isWritable));
   }
 
   /** Enforces the deadline, and retries on another runner if the present one stopped responding. */
@@ -594,7 +605,7 @@
     if (!isReported) {
       silent.isSilenceReported = true;
       logAttempt("runner_silent", silent, "no data from the runner");
-      silent.runner.eject(now);
+      silent.runner.ejectForSilence(now);
       server.runnerConnections().closeIdle(silent.runner.info().endpoint());
     }
     Optional<String> obstacle = findRetryObstacle(now);
@@ -744,8 +755,17 @@
       }
     }
 
+    /** Pauses reading the response or continues; the runner's silence is measured anew then. */
+    void pauseReading(boolean isPaused) {
+      if (connection.isPresent()) {
+        connection.get().pauseReading(isPaused);
+        lastActivityAt = state.now();
+      }
+    }
+
+    /** Returns whether the runner sends nothing, as far as this node reads what it sends. */
     boolean isSilent(Instant now) {
-      if (connection.isEmpty()) {
+      if (connection.isEmpty() || connection.get().isReadingPaused()) {
         return false;
       }
       return hasResponse
@@ -820,6 +840,8 @@
     public void onActivity() {
       lastActivityAt = state.now();
       isSilenceReported = false;
+      // A later retry must count in the window of the budget in which it is sent.
+      hasUnusedRetry = false;
       runner.recordActivity(lastActivityAt);
       if (silentAttempt.filter(this::equals).isPresent()) {
         resumeSilentAttempt();
@@ -979,7 +1001,7 @@
         caller.writeContent(bytes.retain());
       }
       if (!caller.isWritable()) {
-        connection.ifPresent(used -> used.pauseReading(true));
+        pauseReading(true);
       }
     }
 
