Read again from a runner's connection before it is reused

A request that was sent on a reused connection got no answer, if the answer before on that connection had been so large that its last bytes came while the caller had not taken the others yet. The node had paused reading, and nothing ended the pause, since the request was over.

EndlessResponseTest.readsNextResponseAfterLargeBody fails on the code before (no answer within 8 s, with the clock of the node stopped) and passes now.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -167,6 +167,8 @@
     // have to be sent on this connection, so it is not reused.
     boolean isWritten = lastWrite.map(ChannelFuture::isSuccess).orElse(false);
     if (isReusable && isWritten && channel.isActive()) {
+      // The caller may have been slow to read the last bytes; the next one must not wait for that.
+      pauseReading(false);
       pool.release(this);
     } else {
       channel.close();
