Limit the size of one event of a resumable stream

A node keeps the bytes of an incomplete event of a resumable stream, and did so without a limit: a runner whose event never ends filled its memory until the deadline, as fast as it could send. The caller gets none of these bytes, so a slow caller does not hold them up either.

An event of more than 256 KiB (EventStream.MAX_EVENT_BYTES) now counts as a broken answer: the connection to the runner is closed, answer_failed says why, and another runner resumes the stream after its last complete event, or the answer is broken off.

--- a/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
@@ -12,6 +12,9 @@
  */
 public final class EventStream {
 
+  /** Maximum number of bytes of an incomplete event; a stream with a longer one is faulty. */
+  public static final int MAX_EVENT_BYTES = 256 * 1_024;
+
   private static final String ID_FIELD = "id:";
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
@@ -85,6 +88,11 @@
     pendingId = Optional.empty();
   }
 
+  /** Returns whether more bytes of an incomplete event are buffered than an event may have. */
+  public boolean isEventTooLong() {
+    return pending.size() > MAX_EVENT_BYTES;
+  }
+
   /** Returns whether the bytes received so far end inside an event. */
   public boolean isInsideEvent() {
     return isInsideEvent;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -972,6 +972,11 @@
         if (completeEvents.length > 0) {
           caller.writeContent(Unpooled.wrappedBuffer(completeEvents));
         }
+        if (eventStream.isEventTooLong()) {
+          cancel();
+          onBrokenOff("event longer than " + EventStream.MAX_EVENT_BYTES + " bytes");
+          return;
+        }
       } else {
         if (isEventStream) {
           eventStream.track(ByteBufUtil.getBytes(bytes));
