Limit the responses that a runner may send before its answer

Interim responses (1xx) without end, or one response to another request whose body never ends, kept a request with their runner until its deadline: they are skipped and count as signs of life, so no other runner was asked. Memory was not affected.

After 100 interim responses or 4 MiB of skipped bodies the answer now counts as broken, as it already did after three responses to other requests: the connection is closed and a repeatable request goes to another runner.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -31,6 +31,12 @@
   /** Maximum number of responses to other requests that are skipped before the request fails. */
   private static final int MAX_MISMATCHED_RESPONSES = 3;
 
+  /** Maximum number of interim responses (1xx) to a request before it fails. */
+  private static final int MAX_INTERIM_RESPONSES = 100;
+
+  /** Maximum number of bytes of skipped bodies before the request fails. */
+  private static final int MAX_SKIPPED_BYTES = 4 * 1_024 * 1_024;
+
   private final RunnerConnectionPool pool;
   private final Channel channel;
   private Optional<ResponseListener> listener = Optional.empty();
@@ -42,6 +48,8 @@
   private BodyFraming framing = BodyFraming.LENGTH;
   private boolean hasIoError;
   private int mismatchedResponses;
+  private int interimResponses;
+  private int skippedBytes;
   private Duration reuseWindow;
   private Instant idleSince = Instant.EPOCH;
 
@@ -72,6 +80,8 @@
     isSkippingResponse = false;
     isReusable = false;
     mismatchedResponses = 0;
+    interimResponses = 0;
+    skippedBytes = 0;
     channel.write(requestHead);
     lastWrite = Optional.of(channel.writeAndFlush(new DefaultLastHttpContent(body)));
   }
@@ -113,6 +123,10 @@
     int status = response.status().code();
     if (status < 200) {
       isSkippingResponse = true;
+      interimResponses++;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        fail("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+      }
       return;
     }
     HeaderCodec.ResponseHeaders headers = pool.headerCodec().parseResponse(response);
@@ -142,6 +156,10 @@
     boolean isLast = content instanceof LastHttpContent;
     if (isSkippingResponse) {
       isSkippingResponse = !isLast;
+      skippedBytes += content.content().readableBytes();
+      if (skippedBytes > MAX_SKIPPED_BYTES) {
+        fail("skipped more than " + MAX_SKIPPED_BYTES + " bytes");
+      }
       return;
     }
     if (listener.isEmpty() || !hasHeaders) {
