Serve prompts that lack the part common to all crashes

Three crashes within a second block every part that the bad prompts share with sound ones.

A blocked part blocks a prompt only if each other blocked part that was in all its crashes is in the prompt too. Else the answer to this prompt tells which of the two is bad.

--- a/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
@@ -75,18 +75,25 @@
     }
   }
 
-  /** Returns the first of the parts that is blocked. */
+  /**
+   * Returns the first of a prompt's parts for which the prompt is blocked. A part that was in no
+   * crash without a certain other blocked one does not block prompts that lack the other: they show
+   * which of the two is bad.
+   */
   public Optional<String> blockedPart(Collection<String> parts, Instant now) {
-    for (String part : parts) {
-      Suspect suspect = suspects.get(part);
-      if (suspect != null) {
-        suspect.forgetCrashes(now);
-        if (suspect.crashCount() >= BLOCKING_CRASHES) {
-          return Optional.of(part);
-        }
-      }
+    return parts.stream().filter(part -> isBlocked(part, parts, now)).findFirst();
+  }
+
+  private boolean isBlocked(String part, Collection<String> parts, Instant now) {
+    Suspect suspect = suspects.get(part);
+    if (suspect == null) {
+      return false;
     }
-    return Optional.empty();
+    suspect.forgetCrashes(now);
+    return suspect.isBlocked()
+        && suspects.entrySet().stream()
+            .filter(other -> other.getValue().isBlocked() && !parts.contains(other.getKey()))
+            .noneMatch(other -> other.getValue().hasCrashesOf(suspect));
   }
 
   /** Returns what this node knows, for its peers. Crashes that others have told are included. */
@@ -170,6 +177,14 @@
       return crashes.size();
     }
 
+    boolean isBlocked() {
+      return crashCount() >= BLOCKING_CRASHES;
+    }
+
+    boolean hasCrashesOf(Suspect other) {
+      return crashes.keySet().containsAll(other.crashes.keySet());
+    }
+
     Instant newestCrash() {
       return crashes.values().stream().max(Comparator.naturalOrder()).orElse(Instant.MIN);
     }
--- a/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
@@ -41,6 +41,21 @@
     assertEquals(suspects.blockedPart(SOUND_PROMPT, at(400)), Optional.empty());
   }
 
+  /** A part whose only sound prompts are new ones is cleared by them, although it was blocked. */
+  @Test
+  public void blocksNoPromptThatLacksThePartOfAllCrashes() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(suspects, i, i);
+    }
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(100)).isPresent());
+    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(100)), Optional.empty());
+    // It was the common part after all.
+    suspects.recordCrash("another", SOUND_PROMPT, at(200));
+    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(300)), Optional.of("m/common"));
+    assertEquals(suspects.blockedPart(List.of("m/bad"), at(300)), Optional.empty());
+  }
+
   /** One crash that several nodes or requests report counts once. */
   @Test
   public void countsEachCrashOnce() {
