Do not block sound prompts after runners crashed together

Eight runners that end at once, with their rack for example, left three crashes under each part in use.

A part is blocked only if its crashes span 0.6 s or more. Four further faults of the evidence let cleared crashes stay or come back and go with it, none of them taken out singly: a late report of a cleared crash made it a new one (cleared crashes are remembered, and the earliest time that is told counts); a report that arrives after a newer one of its node was merged; an answer that was sound after a crash, but before the node heard of that crash, cleared nothing; reports named three crashes of a part, so that nodes compared different sets.

--- a/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Prompt parts under which runners crashed while they began an answer, as seen by all nodes.
@@ -24,6 +27,12 @@
   /** Number of crashes without a sound answer since from which a part is blocked. */
   public static final int BLOCKING_CRASHES = 3;
 
+  /**
+   * Minimum time from the first to the last of these crashes. Runners that end together, with their
+   * rack for example, say nothing of the prompts that they were about to answer.
+   */
+  public static final Duration BLOCKING_SPAN = Duration.ofMillis(600);
+
   /** Time after which a crash is forgotten. */
   public static final Duration CRASH_MEMORY = Duration.ofMinutes(10);
 
@@ -50,6 +59,9 @@
 
   private final Map<String, Suspect> suspects = new HashMap<>();
 
+  /** When the newest sound answers began, by part, those recorded last at the end. */
+  private final Map<String, Instant> soundAnswers = new LinkedHashMap<>();
+
   /** Returns whether no part is suspect, or was lately. */
   public boolean isEmpty() {
     return suspects.isEmpty();
@@ -76,11 +88,16 @@
    */
   public void recordSoundAnswer(Collection<String> parts, Instant begunAt) {
     for (String part : parts) {
+      Instant known = soundAnswers.remove(part);
+      soundAnswers.put(part, known == null ? begunAt : later(known, begunAt));
       Suspect suspect = suspects.get(part);
       if (suspect != null) {
         suspect.recordSoundAnswer(begunAt);
       }
     }
+    while (soundAnswers.size() > MAX_PARTS) {
+      soundAnswers.remove(soundAnswers.keySet().iterator().next());
+    }
   }
 
   /**
@@ -116,7 +133,7 @@
     for (Map.Entry<String, Suspect> entry : sorted) {
       Suspect suspect = entry.getValue();
       if (suspect.isReportable(now) && crashes.size() < MAX_REPORTED_PARTS) {
-        crashes.put(entry.getKey(), suspect.newestCrashAges(now));
+        crashes.put(entry.getKey(), suspect.crashAges(now));
       }
       if (suspect.isSoundAnswerMissedByPeer(now) && soundAnswers.size() < MAX_REPORTED_PARTS) {
         soundAnswers.put(entry.getKey(), Duration.between(suspect.ownSoundAnswer, now));
@@ -148,7 +165,8 @@
   }
 
   private Suspect suspect(String part) {
-    return suspects.computeIfAbsent(part, any -> new Suspect());
+    return suspects.computeIfAbsent(
+        part, any -> new Suspect(soundAnswers.getOrDefault(part, Instant.MIN)));
   }
 
   private void removeForgotten(Instant now) {
@@ -157,7 +175,7 @@
         .removeIf(
             suspect -> {
               suspect.forgetCrashes(now);
-              return suspect.crashCount() == 0 && suspect.isClearedLongAgo(now);
+              return suspect.crashes.isEmpty();
             });
   }
 
@@ -181,37 +199,64 @@
   }
 
   private static final class Suspect {
+    /** Earliest known times of the crashes, including those that a sound answer has cleared. */
     private final Map<String, Instant> crashes = new LinkedHashMap<>();
-    private Instant clearedUntil = Instant.MIN;
-    private Instant ownSoundAnswer = Instant.MIN;
+
+    private Instant clearedUntil;
+    private Instant ownSoundAnswer;
     private Instant clearedCrashAt = Instant.MIN;
 
+    Suspect(Instant ownSoundAnswer) {
+      this.ownSoundAnswer = ownSoundAnswer;
+      clearedUntil = ownSoundAnswer;
+    }
+
     int crashCount() {
-      return crashes.size();
+      return (int) openTimes().count();
+    }
+
+    private boolean isOpen(Instant crashAt) {
+      return crashAt.isAfter(clearedUntil);
     }
 
     boolean isBlocked() {
-      return crashCount() >= BLOCKING_CRASHES;
+      return crashCount() >= BLOCKING_CRASHES
+          && Duration.between(oldestCrash(), newestCrash()).compareTo(BLOCKING_SPAN) >= 0;
     }
 
     boolean hasCrashesOf(Suspect other) {
-      return crashes.keySet().containsAll(other.crashes.keySet());
+      return openCrashes().containsAll(other.openCrashes());
+    }
+
+    private Set<String> openCrashes() {
+      return crashes.entrySet().stream()
+          .filter(crash -> isOpen(crash.getValue()))
+          .map(Map.Entry::getKey)
+          .collect(Collectors.toSet());
     }
 
     Instant newestCrash() {
-      return crashes.values().stream().max(Comparator.naturalOrder()).orElse(Instant.MIN);
+      return openTimes().max(Comparator.naturalOrder()).orElse(Instant.MIN);
+    }
+
+    Instant oldestCrash() {
+      return openTimes().min(Comparator.naturalOrder()).orElse(Instant.MIN);
+    }
+
+    private Stream<Instant> openTimes() {
+      return crashes.values().stream().filter(this::isOpen);
     }
 
     boolean isReportable(Instant now) {
-      return crashes.size() > 1
-          || crashes.size() == 1 && isWithin(newestCrash(), SINGLE_CRASH_REPORTING, now);
+      int count = crashCount();
+      return count > 1 || count == 1 && isWithin(newestCrash(), SINGLE_CRASH_REPORTING, now);
     }
 
     void recordSoundAnswer(Instant begunAt) {
-      int before = crashes.size();
+      int before = crashCount();
       ownSoundAnswer = later(ownSoundAnswer, begunAt);
       clearBefore(begunAt);
-      if (crashes.size() < before) {
+      if (crashCount() < before) {
         clearedCrashAt = begunAt;
       }
     }
@@ -223,44 +268,41 @@
     }
 
     void addReportedCrash(String crash, Instant at, Instant now) {
-      if (at.isAfter(clearedUntil)) {
-        addCrash(crash, at);
-      } else {
+      addCrash(crash, at);
+      if (crashes.containsKey(crash) && !isOpen(crashes.get(crash))) {
         clearedCrashAt = now;
       }
     }
 
+    /** Adds a crash. Reports of it arrive late, so the earliest time is the most accurate. */
     void addCrash(String crash, Instant at) {
-      if (at.isAfter(clearedUntil) && crashes.putIfAbsent(crash, at) == null) {
-        crashes.values().stream()
-            .sorted(Comparator.reverseOrder())
-            .skip(MAX_CRASHES_PER_PART)
-            .toList()
-            .forEach(crashes.values()::remove);
+      crashes.merge(crash, at, (known, other) -> known.isBefore(other) ? known : other);
+      if (crashes.size() > MAX_CRASHES_PER_PART) {
+        // The oldest one is needed for the time between the first and the last.
+        crashes.entrySet().stream()
+            .sorted(Map.Entry.comparingByValue())
+            .skip(1)
+            .findFirst()
+            .map(Map.Entry::getKey)
+            .ifPresent(crashes::remove);
       }
     }
 
     void clearBefore(Instant begunAt) {
       clearedUntil = later(clearedUntil, begunAt);
-      crashes.values().removeIf(at -> !at.isAfter(clearedUntil));
     }
 
     void forgetCrashes(Instant now) {
       crashes.values().removeIf(at -> Duration.between(at, now).compareTo(CRASH_MEMORY) > 0);
     }
 
-    boolean isClearedLongAgo(Instant now) {
-      return clearedUntil.equals(Instant.MIN)
-          || Duration.between(clearedUntil, now).compareTo(CRASH_MEMORY) > 0;
-    }
-
-    Map<String, Duration> newestCrashAges(Instant now) {
-      Map<String, Duration> ages = new HashMap<>();
-      crashes.entrySet().stream()
-          .sorted(Map.Entry.<String, Instant>comparingByValue().reversed())
-          .limit(BLOCKING_CRASHES)
-          .forEach(crash -> ages.put(crash.getKey(), Duration.between(crash.getValue(), now)));
-      return ages;
+    /** Returns the ages of the crashes that no sound answer has cleared. */
+    Map<String, Duration> crashAges(Instant now) {
+      return crashes.entrySet().stream()
+          .filter(crash -> isOpen(crash.getValue()))
+          .collect(
+              Collectors.toMap(
+                  Map.Entry::getKey, crash -> Duration.between(crash.getValue(), now)));
     }
   }
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -30,8 +30,11 @@
 
   private final Map<String, LatestReport> peers = new HashMap<>();
 
-  /** Stores a report unless it is older than the latest one from the same node incarnation. */
-  public void update(PeerReport report, Instant now) {
+  /**
+   * Stores a report unless it is older than the latest one from the same node incarnation. Returns
+   * whether it was stored.
+   */
+  public boolean update(PeerReport report, Instant now) {
     LatestReport last = peers.get(report.node());
     boolean isOutdated =
         last != null
@@ -40,6 +43,7 @@
     if (!isOutdated) {
       peers.put(report.node(), new LatestReport(report, now));
     }
+    return !isOutdated;
   }
 
   /** Returns the peers that have reported recently and are not stopping. */
--- a/core/src/test/java/org/dragonflyhill/core/relay/CrashPatternTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/CrashPatternTest.java
@@ -68,6 +68,8 @@
       {new Pattern("turns bad", 1, 3_000, 10, 50, 4, 1, 20, 0, false, false)},
       {new Pattern("restarted node", 1, 0, 5, 50, 4, 1, 10, 0, true, false)},
       {new Pattern("cut node", 1, 0, 5, 50, 4, 1, 0, 0, false, true)},
+      {new Pattern("killed runners", 0, END, 0, 100, 2, 1, 0, 8, false, false)},
+      {new Pattern("few requests, killed runners", 0, END, 0, 20, 2, 1, 0, 8, false, false)},
       {new Pattern("killed runners and bad part", 1, 0, 5, 100, 2, 1, 10, 8, false, false)},
       {new Pattern("wide prompts", 1, 0, 4, 60, 4, 30, 0, 0, false, false)},
     };
@@ -125,6 +127,12 @@
     assertTrue(faults.isEmpty(), figures);
   }
 
+  /** The same bounds with two bad parts, counted together. */
+  @Test
+  public void keepsBoundsWithTwoBadParts() {
+    keepsBounds(new Pattern("two bad parts", 2, 0, 10, 50, 4, 1, 10, 0, false, false));
+  }
+
   private static final class Runner {
     private int upAt;
     private int starts;
@@ -150,6 +158,7 @@
     private final Pattern pattern;
     private final Random random;
     private final CrashSuspects[] nodes = new CrashSuspects[NODES];
+    private final int[][] newestReports = new int[NODES][NODES];
     private final List<Runner> runners = new ArrayList<>();
     private final TreeMap<Integer, List<Runnable>> events = new TreeMap<>();
     private final List<Integer> badCrashes = new ArrayList<>();
@@ -205,18 +214,27 @@
 
     private void report(int sender) {
       CrashReport report = nodes[sender].report(time());
+      final int sentAt = now;
       for (int i = 0; i < NODES; i++) {
         int receiver = i;
         boolean isLost = random.nextInt(100) < pattern.lossPercent;
         boolean isLate = random.nextInt(100) < pattern.lossPercent;
         int delay = isLate ? between(100, 1_000) : between(1, 5);
         if (receiver != sender && !isLost && !isCut(sender) && !isCut(receiver)) {
-          in(delay, () -> nodes[receiver].merge(report, time()));
+          in(delay, () -> receive(receiver, sender, report, sentAt));
         }
       }
       in(150, () -> report(sender));
     }
 
+    /** Merges a report unless a newer one of its sender has arrived before it. */
+    private void receive(int receiver, int sender, CrashReport report, int sentAt) {
+      if (sentAt > newestReports[receiver][sender]) {
+        newestReports[receiver][sender] = sentAt;
+        nodes[receiver].merge(report, time());
+      }
+    }
+
     private void arrive(boolean isBad) {
       int perSecond = isBad ? pattern.badPerSecond : pattern.soundPerSecond;
       if (perSecond == 0) {
--- a/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
@@ -20,6 +20,13 @@
   private static final List<String> BAD_PROMPT = List.of("m/common", "m/bad");
   private static final List<String> SOUND_PROMPT = List.of("m/common", "m/other");
 
+  /** Time between crashes by which the number that blocks a part is far enough apart. */
+  private static final long STEP =
+      CrashSuspects.BLOCKING_SPAN.toMillis() / (CrashSuspects.BLOCKING_CRASHES - 1) + 10;
+
+  /** Time of the last of these crashes. */
+  private static final long LAST = STEP * (CrashSuspects.BLOCKING_CRASHES - 1);
+
   private static Instant at(long millis) {
     return START.plusMillis(millis);
   }
@@ -33,12 +40,12 @@
   public void blocksThePartThatSoundAnswersLack() {
     var suspects = new CrashSuspects();
     for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
-      assertEquals(suspects.blockedPart(BAD_PROMPT, at(i * 100)), Optional.empty());
-      crash(suspects, i, i * 100);
-      suspects.recordSoundAnswer(SOUND_PROMPT, at(i * 100 + 50));
+      assertEquals(suspects.blockedPart(BAD_PROMPT, at(i * STEP)), Optional.empty());
+      crash(suspects, i, i * STEP);
+      suspects.recordSoundAnswer(SOUND_PROMPT, at(i * STEP + 50));
     }
-    assertEquals(suspects.blockedPart(BAD_PROMPT, at(400)), Optional.of("m/bad"));
-    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(400)), Optional.empty());
+    assertEquals(suspects.blockedPart(BAD_PROMPT, at(LAST + 100)), Optional.of("m/bad"));
+    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(LAST + 100)), Optional.empty());
   }
 
   /** A part whose only sound prompts are new ones is cleared by them, although it was blocked. */
@@ -46,14 +53,14 @@
   public void blocksNoPromptThatLacksThePartOfAllCrashes() {
     var suspects = new CrashSuspects();
     for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
-      crash(suspects, i, i);
+      crash(suspects, i, i * STEP);
     }
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(100)).isPresent());
-    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(100)), Optional.empty());
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(LAST + 100)).isPresent());
+    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(LAST + 100)), Optional.empty());
     // It was the common part after all.
-    suspects.recordCrash("another", SOUND_PROMPT, at(200));
-    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(300)), Optional.of("m/common"));
-    assertEquals(suspects.blockedPart(List.of("m/bad"), at(300)), Optional.empty());
+    suspects.recordCrash("another", SOUND_PROMPT, at(LAST + 200));
+    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(LAST + 300)), Optional.of("m/common"));
+    assertEquals(suspects.blockedPart(List.of("m/bad"), at(LAST + 300)), Optional.empty());
   }
 
   /** One crash that several nodes or requests report counts once. */
@@ -61,9 +68,9 @@
   public void countsEachCrashOnce() {
     var suspects = new CrashSuspects();
     for (int i = 0; i < 10; i++) {
-      crash(suspects, 1, i);
+      crash(suspects, 1, i * STEP);
     }
-    assertEquals(suspects.blockedPart(BAD_PROMPT, at(20)), Optional.empty());
+    assertEquals(suspects.blockedPart(BAD_PROMPT, at(20 * STEP)), Optional.empty());
   }
 
   /** A part that was sound for a while and then crashes runners is blocked all the same. */
@@ -73,9 +80,9 @@
     crash(suspects, 0, 0);
     suspects.recordSoundAnswer(BAD_PROMPT, at(100));
     for (int i = 1; i <= CrashSuspects.BLOCKING_CRASHES; i++) {
-      crash(suspects, i, 1_000 + i);
+      crash(suspects, i, 1_000 + i * STEP);
     }
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(2_000)).isPresent());
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(2_000 + LAST)).isPresent());
   }
 
   /** An answer that began before a crash and ends after it says nothing about its part. */
@@ -83,10 +90,10 @@
   public void answersBegunBeforeCrashDoNotClearIt() {
     var suspects = new CrashSuspects();
     for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
-      crash(suspects, i, 100 + i);
+      crash(suspects, i, 100 + i * STEP);
     }
     suspects.recordSoundAnswer(BAD_PROMPT, at(50));
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(200)).isPresent());
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(LAST + 200)).isPresent());
   }
 
   /** After a crash is forgotten, a single further crash blocks the part again. */
@@ -116,17 +123,17 @@
       all.add(new CrashSuspects());
     }
     for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
-      crash(all.get(i % nodes), i, i);
+      crash(all.get(i % nodes), i, i * STEP);
     }
-    exchange(all, 100);
+    exchange(all, LAST + 100);
     for (CrashSuspects node : all) {
-      assertEquals(node.blockedPart(BAD_PROMPT, at(100)), Optional.of("m/common"));
+      assertEquals(node.blockedPart(BAD_PROMPT, at(LAST + 110)), Optional.of("m/common"));
     }
     // Each node sees sound answers with the common part.
-    all.forEach(node -> node.recordSoundAnswer(SOUND_PROMPT, at(120)));
-    exchange(all, 200);
+    all.forEach(node -> node.recordSoundAnswer(SOUND_PROMPT, at(LAST + 120)));
+    exchange(all, LAST + 200);
     for (CrashSuspects node : all) {
-      assertEquals(node.blockedPart(BAD_PROMPT, at(200)), Optional.of("m/bad"));
+      assertEquals(node.blockedPart(BAD_PROMPT, at(LAST + 210)), Optional.of("m/bad"));
     }
   }
 
@@ -141,13 +148,13 @@
     var one = new CrashSuspects();
     var other = new CrashSuspects();
     for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
-      crash(one, i, i);
+      crash(one, i, i * STEP);
     }
-    exchange(List.of(one, other), 10);
-    other.recordSoundAnswer(List.of("m/common"), at(20));
-    exchange(List.of(one, other), 30);
-    assertEquals(one.blockedPart(List.of("m/common"), at(40)), Optional.empty());
-    assertTrue(one.blockedPart(BAD_PROMPT, at(40)).isPresent());
+    exchange(List.of(one, other), LAST + 10);
+    other.recordSoundAnswer(List.of("m/common"), at(LAST + 20));
+    exchange(List.of(one, other), LAST + 30);
+    assertEquals(one.blockedPart(List.of("m/common"), at(LAST + 40)), Optional.empty());
+    assertTrue(one.blockedPart(BAD_PROMPT, at(LAST + 40)).isPresent());
   }
 
   /** A node that restarts learns what is blocked from one report of any peer. */
@@ -155,13 +162,71 @@
   public void restartedNodeLearnsFromPeerThatSawNoCrash() {
     var one = new CrashSuspects();
     for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
-      crash(one, i, i);
+      crash(one, i, i * STEP);
     }
     var witness = new CrashSuspects();
-    witness.merge(one.report(at(10)), at(11));
+    witness.merge(one.report(at(LAST + 10)), at(LAST + 11));
     var restarted = new CrashSuspects();
-    restarted.merge(witness.report(at(20)), at(21));
-    assertTrue(restarted.blockedPart(BAD_PROMPT, at(30)).isPresent());
+    restarted.merge(witness.report(at(LAST + 20)), at(LAST + 21));
+    assertTrue(restarted.blockedPart(BAD_PROMPT, at(LAST + 30)).isPresent());
+  }
+
+  /** Runners that end together block no part, however many they are. */
+  @Test
+  public void crashesAtOneMomentBlockNothing() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < 10; i++) {
+      crash(suspects, i, i * 50);
+    }
+    assertEquals(suspects.blockedPart(BAD_PROMPT, at(60_000)), Optional.empty());
+    crash(suspects, 10, CrashSuspects.BLOCKING_SPAN.toMillis());
+    assertTrue(suspects.blockedPart(BAD_PROMPT, at(60_000)).isPresent());
+  }
+
+  /** A report names crashes far enough apart, even if the newest ones are close together. */
+  @Test
+  public void reportTellsTheTimeBetweenCrashes() {
+    var one = new CrashSuspects();
+    var other = new CrashSuspects();
+    crash(one, 0, 0);
+    for (int i = 1; i < 30; i++) {
+      crash(one, i, 1_000 + i);
+    }
+    other.merge(one.report(at(1_100)), at(1_101));
+    assertTrue(other.blockedPart(BAD_PROMPT, at(1_102)).isPresent());
+  }
+
+  /**
+   * An answer that was complete before its node heard of an earlier crash clears that crash too.
+   */
+  @Test
+  public void soundAnswersBeforeReportClearCrash() {
+    var one = new CrashSuspects();
+    var other = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(one, i, i * STEP);
+    }
+    other.recordSoundAnswer(BAD_PROMPT, at(LAST + 5));
+    exchange(List.of(one, other), LAST + 10);
+    assertEquals(other.blockedPart(BAD_PROMPT, at(LAST + 20)), Optional.empty());
+    exchange(List.of(one, other), LAST + 30);
+    assertEquals(one.blockedPart(BAD_PROMPT, at(LAST + 40)), Optional.empty());
+  }
+
+  /** A late report of a crash that a sound answer has cleared does not make it a new crash. */
+  @Test
+  public void lateReportDoesNotRenewClearedCrash() {
+    var one = new CrashSuspects();
+    var other = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(one, i, i * STEP);
+    }
+    CrashReport late = one.report(at(LAST + 10));
+    other.merge(late, at(LAST + 11));
+    assertTrue(other.blockedPart(BAD_PROMPT, at(LAST + 12)).isPresent());
+    other.recordSoundAnswer(BAD_PROMPT, at(LAST + 500));
+    other.merge(late, at(LAST + 2_000));
+    assertEquals(other.blockedPart(BAD_PROMPT, at(LAST + 2_001)), Optional.empty());
   }
 
   /** Crashes and sound answers do not move in time however often nodes tell them each other. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -138,7 +138,7 @@
 
   /** Records a report of another node, and the weight versions that it has seen. */
   public void recordPeerReport(PeerReport report) {
-    peers.update(report, now());
+    final boolean isNewest = peers.update(report, now());
     report
         .drainingRunners()
         .forEach(
@@ -161,7 +161,9 @@
                 versions.forEach(
                     (version, age) -> announcedWeights.announce(model, version, now().minus(age))));
     report.runnerClockMillis().ifPresent(this::recordRunnerClock);
-    crashSuspects.merge(report.crashReport(), now());
+    if (isNewest) {
+      crashSuspects.merge(report.crashReport(), now());
+    }
   }
 
   /** Returns the prompt parts under which runners crashed. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -787,13 +787,11 @@
 
     private void recordSoundAnswer() {
       isSoundRecorded = true;
-      if (!state.crashSuspects().isEmpty()) {
-        requestHeaders
-            .prompt()
-            .ifPresent(
-                prompt ->
-                    state.crashSuspects().recordSoundAnswer(prompt.sharedPartKeys(), answeredAt));
-      }
+      requestHeaders
+          .prompt()
+          .ifPresent(
+              prompt ->
+                  state.crashSuspects().recordSoundAnswer(prompt.sharedPartKeys(), answeredAt));
     }
 
     /** Returns whether the runner had time to answer before a silent attempt is cancelled. */
