Limit the length of a response that HttpCaller reads

A response was read as a whole, whatever its length, until the time-out of the call; with streamLines an error response had no time-out of its own either. A server that sends bytes without end filled the memory.

The largest pages that nodes ask for are 1,000 records of the log; claims have at most about 4 KiB each. Nothing limits the size of configuration records.

--- a/ports/src/main/java/org/dragonflyhill/ports/HttpCaller.java
+++ b/ports/src/main/java/org/dragonflyhill/ports/HttpCaller.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
 import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
@@ -29,6 +30,9 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
+  /** Maximum length of a response body in bytes. A longer one is an error. */
+  private static final int MAX_REPLY_BYTES = 16 * 1_024 * 1_024;
+
   private final ConnectionProvider connections;
   private final HttpClient client;
 
@@ -91,7 +95,8 @@
       String body,
       Duration timeout) {
     return request(method, address, path, headers, body)
-        .responseSingle((response, bytes) -> readReply(response, bytes))
+        .response((response, content) -> readReply(response, content))
+        .single()
         .timeout(timeout)
         .map(reply -> requireSuccess(address, reply))
         .onErrorResume(error -> Mono.just(Either.left(classify(address, error))));
@@ -124,7 +129,8 @@
                 mayStart.getAsBoolean()
                     ? outbound.sendByteArray(Mono.just(body.getBytes(StandardCharsets.UTF_8)))
                     : Mono.error(new NotStartedException()))
-        .responseSingle((response, bytes) -> readReply(response, bytes))
+        .response((response, content) -> readReply(response, content))
+        .single()
         .timeout(timeout)
         .map(Either::<PlatformError, Reply>right)
         .onErrorResume(error -> Mono.just(Either.left(classify(address, error))));
@@ -140,13 +146,10 @@
             (response, content) ->
                 response.status().code() == 200
                     ? LineSplitter.lines(content.asByteArray())
-                    : content
-                        .aggregate()
-                        .asString()
-                        .defaultIfEmpty("")
+                    : readReply(response, content)
                         .flatMapMany(
-                            text ->
-                                Flux.error(new StatusException(response.status().code(), text))));
+                            reply ->
+                                Flux.error(new StatusException(reply.status(), reply.body()))));
   }
 
   /** Converts an exception of a call into a {@link PlatformError}. */
@@ -191,12 +194,19 @@
         });
   }
 
-  private static Mono<Reply> readReply(
-      HttpClientResponse response, reactor.netty.ByteBufMono bytes) {
-    return bytes
+  private static Mono<Reply> readReply(HttpClientResponse response, ByteBufFlux content) {
+    return content
         .asByteArray()
-        .defaultIfEmpty(new byte[0])
-        .map(body -> new Reply(response.status().code(), new String(body, StandardCharsets.UTF_8)));
+        .reduceWith(ByteArrayOutputStream::new, HttpCaller::append)
+        .map(body -> new Reply(response.status().code(), body.toString(StandardCharsets.UTF_8)));
+  }
+
+  private static ByteArrayOutputStream append(ByteArrayOutputStream body, byte[] block) {
+    if (body.size() + block.length > MAX_REPLY_BYTES) {
+      throw new IllegalStateException("response exceeds " + MAX_REPLY_BYTES + " bytes");
+    }
+    body.writeBytes(block);
+    return body;
   }
 
   private static Either<PlatformError, Reply> requireSuccess(String address, Reply reply) {
