List a failure of the proof of concurrent changes, and print its cause next time

acceptsConcurrentChangesToDifferentObjects failed once on a machine with load 32: the test's own read of the log returned an error that it did not print. All reads of this class print it now; no check is changed.

--- a/proofs/src/test/java/org/dragonflyhill/proofs/ConfigurationProofTest.java
+++ b/proofs/src/test/java/org/dragonflyhill/proofs/ConfigurationProofTest.java
@@ -103,12 +103,15 @@
     return new ChangeRecord(changeId, changeId, List.of(base), List.of(zone), List.of());
   }
 
+  private ConfigurationState readConfiguration() {
+    return configurationLog()
+        .read()
+        .block()
+        .getOrElseThrow(error -> new AssertionError(error.toString()));
+  }
+
   private ChangeOutcome submit(String changeId, String name, String region) {
-    ConfigurationState state =
-        configurationLog()
-            .read()
-            .block()
-            .getOrElseThrow(error -> new AssertionError(error.toString()));
+    ConfigurationState state = readConfiguration();
     return configurationLog().submit(state, zoneChange(state, changeId, name, region)).block();
   }
 
@@ -131,7 +134,7 @@
 
   /** Returns the number of nodes whose configuration differs from the one in the log's stream. */
   private int differingNodes() {
-    ConfigurationState wanted = configurationLog().read().block().get();
+    ConfigurationState wanted = readConfiguration();
     List<ConfigurationObject> objects =
         wanted.objects().values().stream().map(each -> each.object()).toList();
     String text = Json.write(new AdminApi.Configuration(wanted.version(), objects));
@@ -152,7 +155,7 @@
     startNodes(2);
     int violations = 0;
     for (int race = 0; race < RACES; race++) {
-      ConfigurationState state = configurationLog().read().block().get();
+      ConfigurationState state = readConfiguration();
       ChangeRecord first = zoneChange(state, "first-" + race, "melipilla", "one-" + race);
       ChangeRecord second = zoneChange(state, "second-" + race, "melipilla", "two-" + race);
       var other =
@@ -161,7 +164,7 @@
           List.of(configurationLog().submit(state, second).block(), other.join());
       violations += countAccepted(outcomes) == 1 ? 0 : 1;
     }
-    awaitVersion(configurationLog().read().block().get().version());
+    awaitVersion(readConfiguration().version());
     report("two operators race on one object", RACES, 2 * RACES, violations + differingNodes());
   }
 
@@ -170,7 +173,7 @@
     startNodes(2);
     int violations = 0;
     for (int race = 0; race < RACES; race++) {
-      ConfigurationState state = configurationLog().read().block().get();
+      ConfigurationState state = readConfiguration();
       ChangeRecord first = zoneChange(state, "first-" + race, "melipilla", "one-" + race);
       ChangeRecord second = zoneChange(state, "second-" + race, "san-fernando", "two-" + race);
       var other =
@@ -179,7 +182,7 @@
           List.of(configurationLog().submit(state, second).block(), other.join());
       violations += countAccepted(outcomes) == 2 ? 0 : 1;
     }
-    awaitVersion(configurationLog().read().block().get().version());
+    awaitVersion(readConfiguration().version());
     report(
         "two operators race on different objects", RACES, 2 * RACES, violations + differingNodes());
   }
@@ -194,7 +197,7 @@
     Random random = Proof.random("lost append answer");
     int violations = 0;
     for (int round = 0; round < RACES; round++) {
-      ConfigurationState state = configurationLog().read().block().get();
+      ConfigurationState state = readConfiguration();
       ChangeRecord change = zoneChange(state, "c-" + round, "melipilla", "r-" + round);
       // Drops the answer to the append and in some rounds also those to the reads that follow.
       int drops = 1 + random.nextInt(3);
@@ -204,7 +207,7 @@
       violations += outcome instanceof ChangeOutcome.Accepted ? 0 : 1;
       violations += countRecords(change.changeId()) == 1 ? 0 : 1;
     }
-    awaitVersion(configurationLog().read().block().get().version());
+    awaitVersion(readConfiguration().version());
     report("append answer lost", RACES, RACES, violations + differingNodes());
   }
 
@@ -292,7 +295,7 @@
     deployment.nodes.clear();
     sampler.clear();
     deployment.startNode("node-b");
-    awaitVersion(configurationLog().read().block().get().version());
+    awaitVersion(readConfiguration().version());
     report("records expired, snapshot kept", 1, 2, differingNodes());
   }
 
@@ -311,10 +314,10 @@
   @Test
   public void refusesDamagedAndOldSnapshots() {
     final ProcessHelper node = startNodes(1);
-    final ConfigurationState old = configurationLog().read().block().get();
+    final ConfigurationState old = readConfiguration();
     final long version = submitAccepted("c-1", "melipilla", "new");
     awaitVersion(version);
-    SerializedState intact = SerializedState.of(configurationLog().read().block().get());
+    SerializedState intact = SerializedState.of(readConfiguration());
     var damaged =
         new ConfigurationRecord.Snapshot(
             1, version + 100, intact.text().replace("melipilla", "elsewhere"), intact.digest());
