--- a/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
@@ -18,7 +18,8 @@
  *
  * <p>A crash makes every part suspect that the runner had just begun to answer. Since sound prompts
  * share parts with the one that caused it, an answer that is sound clears its parts of all crashes
- * before it began. A part with several crashes since is blocked until these are old.
+ * before it began. A part with several crashes since, which did not all come at once, is blocked
+ * until they are old.
  *
  * <p>Not thread-safe; no argument may be null.
  */
@@ -39,7 +40,7 @@
   /** Maximum number of parts that are remembered. */
   static final int MAX_PARTS = 512;
 
-  /** Maximum number of crashes that are remembered for a part; older ones are dropped. */
+  /** Maximum number of crashes that are remembered for a part: the oldest and the newest ones. */
   static final int MAX_CRASHES_PER_PART = 16;
 
   /** Maximum number of suspect parts, and of cleared ones, in a report. */
@@ -125,7 +126,7 @@
   public CrashReport report(Instant now) {
     removeForgotten(now);
     Map<String, Map<String, Duration>> crashes = new HashMap<>();
-    Map<String, Duration> soundAnswers = new HashMap<>();
+    Map<String, Duration> answerAges = new HashMap<>();
     List<Map.Entry<String, Suspect>> sorted =
         suspects.entrySet().stream()
             .sorted(Map.Entry.comparingByValue(MOST_SUSPECT_FIRST))
@@ -135,11 +136,11 @@
       if (suspect.isReportable(now) && crashes.size() < MAX_REPORTED_PARTS) {
         crashes.put(entry.getKey(), suspect.crashAges(now));
       }
-      if (suspect.isSoundAnswerMissedByPeer(now) && soundAnswers.size() < MAX_REPORTED_PARTS) {
-        soundAnswers.put(entry.getKey(), Duration.between(suspect.ownSoundAnswer, now));
+      if (suspect.isSoundAnswerMissedByPeer(now) && answerAges.size() < MAX_REPORTED_PARTS) {
+        answerAges.put(entry.getKey(), Duration.between(suspect.ownSoundAnswer, now));
       }
     }
-    return new CrashReport(crashes, soundAnswers);
+    return new CrashReport(crashes, answerAges);
   }
 
   /** Adds what another node knows. */
