Log the rate limits that runners name

Nothing is decided by it yet.

An answer that names none ends a limit only if its request was sent after the limit was last heard of, since answers overtake each other.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -47,6 +47,7 @@
   private RunnerInfo info;
   private final Map<String, Long> weightVersions = new HashMap<>();
   private final FailureScore failureScore = new FailureScore();
+  private final RunnerRateLimit rateLimit = new RunnerRateLimit();
   private int running;
   private int unanswered;
   private final RankedTokens prefillTokens = new RankedTokens();
@@ -265,6 +266,11 @@
     return now.isBefore(backoffUntil) ? Duration.between(now, backoffUntil) : Duration.ZERO;
   }
 
+  /** Returns the rate of requests that the runner accepts. */
+  public RunnerRateLimit rateLimit() {
+    return rateLimit;
+  }
+
   /** Returns the decaying score of recent failures. */
   public double failureScore(Instant now) {
     return failureScore.value(now);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.dragonflyhill.core.relay.Endpoint;
@@ -100,6 +101,8 @@
    * @param isDraining whether the runner that sent the response is about to leave
    * @param isNotRun whether the runner did not run the request and never will
    * @param retryAfter how long a runner that rejects a request wants no others from this node
+   * @param rateLimit requests per second that the runner accepts from all nodes together, empty if
+   *     it names no limit; a left value describes a limit that cannot be read
    * @param weightVersion version of the weights that the runner has
    * @param idleTimeout how long the runner keeps an idle connection open
    */
@@ -109,6 +112,7 @@
       boolean isDraining,
       boolean isNotRun,
       Optional<Duration> retryAfter,
+      Either<String, OptionalDouble> rateLimit,
       OptionalLong weightVersion,
       Optional<Duration> idleTimeout) {}
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.daemon.relay;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.AnnouncedWeights;
@@ -407,6 +409,51 @@
                 .with("left_ms", runner.backoffLeft(now()).toMillis()));
   }
 
+  /**
+   * Records what an answer says about the rate of requests that its runner accepts.
+   *
+   * @param runner the runner
+   * @param limit requests per second, empty for no limit; a left value describes an error
+   * @param sentAt when the request was sent
+   * @param requestId id of the request
+   */
+  void recordRateLimit(
+      Runner runner, Either<String, OptionalDouble> limit, Instant sentAt, String requestId) {
+    limit
+        .peek(
+            known -> {
+              OptionalDouble before = runner.rateLimit().perSecond();
+              if (runner.rateLimit().observe(known, sentAt, now())) {
+                logRateLimit(runner, before, "request " + requestId);
+              }
+            })
+        .peekLeft(
+            error ->
+                log.info(
+                    "rate_limit_unreadable",
+                    event ->
+                        event
+                            .with("runner", runner.id())
+                            .with("request", requestId)
+                            .with("error", error)));
+  }
+
+  private void logRateLimit(Runner runner, OptionalDouble before, String source) {
+    metrics.count("relay.rate_limit_changed");
+    log.info(
+        "rate_limit_changed",
+        event ->
+            event
+                .with("runner", runner.id())
+                .with("per_second", describe(runner.rateLimit().perSecond()))
+                .with("before", describe(before))
+                .with("source", source));
+  }
+
+  private static String describe(OptionalDouble limit) {
+    return limit.isPresent() ? Double.toString(limit.getAsDouble()) : "none";
+  }
+
   /** Returns how long a runner or store wants no requests of this node. */
   public Duration backoffLeft(Endpoint endpoint) {
     Instant now = now();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -874,6 +874,9 @@
         state.markDraining(runner, "request " + id());
       }
       responseHeaders.retryAfter().ifPresent(time -> state.backOff(runner, time, id()));
+      if (status != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+        state.recordRateLimit(runner, responseHeaders.rateLimit(), sentAt, id());
+      }
       if (responseHeaders.isNotRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
         onNotRun(status, responseHeaders);
         return;
