Keep the rate limits that runners name, over all nodes together

Cause: no node read the limit.

Change: each node learns a limit from any answer but a 421, which may be of another process, and tells its peers the age of what it heard itself. The newest reading holds, for this process of the runner. A few nodes, at most as many as the runner accepts requests in a second, send to it. Rendezvous hashing with a preference for busy nodes chooses them, and they share the limit by the requests that they receive. Each has a token bucket that holds one token and starts empty. A token is taken where a request is connected, so first attempts, retries, handovers and resumed streams all count.

Runners without a token are no candidates, so callers go to the others before they queue. If all are at their limits, a request waits at the node for up to half its target latency, by rank and with organisations taking turns, or is refused at once with the time until its turn and up to as much again at random.

The reports of peers have new fields, so the schema of datagrams is 6.

--- a/core/src/main/java/org/dragonflyhill/core/RendezvousHash.java
+++ b/core/src/main/java/org/dragonflyhill/core/RendezvousHash.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Ranks names for a key by rendezvous hashing (highest random weight).
@@ -29,6 +31,27 @@
     return ranked.stream().map(WeightedName::name).toList();
   }
 
+  /**
+   * Returns the names in a pseudo-random order for the key in which names with larger factors tend
+   * to come first: a name is first with a probability in proportion to its factor.
+   *
+   * @param key the key
+   * @param factors positive factors, by name
+   */
+  public static List<String> rankInProportion(String key, Map<String, Double> factors) {
+    Map<String, Double> costs = new HashMap<>();
+    factors.forEach(
+        (name, factor) -> {
+          double uniform = ((weight(key, name) >>> 11) + 0.5) * 0x1p-53;
+          costs.put(name, -Math.log(uniform) / factor);
+        });
+    return costs.entrySet().stream()
+        .sorted(
+            Map.Entry.<String, Double>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   private static long weight(String key, String name) {
     return Hashing.komihash5_0().hashStream().putString(key).putString(name).getAsLong();
   }
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
@@ -27,6 +27,8 @@
  * @param topics how far the node has read the topics that it reads for its peers
  * @param runnerClockMillis the runners' clock at the time of the report, empty if unknown
  * @param crashReport prompt parts under which runners crashed
+ * @param requestRates requests per second that the node receives, by service
+ * @param rateLimits rates of requests that runners accept, by runner id
  */
 public record PeerReport(
     String node,
@@ -44,7 +46,9 @@
     long nextPartChange,
     List<TopicProgress> topics,
     OptionalLong runnerClockMillis,
-    CrashReport crashReport) {
+    CrashReport crashReport,
+    Map<String, Double> requestRates,
+    Map<String, RateLimitReport> rateLimits) {
 
   /** Creates a report with copies of the collections. */
   public PeerReport {
@@ -55,6 +59,8 @@
     announcedWeights = Map.copyOf(announcedWeights);
     holderReports = Map.copyOf(holderReports);
     topics = List.copyOf(topics);
+    requestRates = Map.copyOf(requestRates);
+    rateLimits = Map.copyOf(rateLimits);
   }
 
   /**
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -85,6 +85,18 @@
     return nodes;
   }
 
+  /** Returns the requests per second that each of the other nodes receives for a service. */
+  public Map<String, Double> requestRates(String service, Instant now) {
+    Map<String, Double> rates = new HashMap<>();
+    for (LatestReport latest : peers.values()) {
+      if (isWithin(latest.receivedAt(), MEMBER_MAX_AGE, now)) {
+        PeerReport report = latest.report();
+        rates.put(report.node(), report.requestRates().getOrDefault(service, 0.0));
+      }
+    }
+    return rates;
+  }
+
   /** Returns the number of requests that other nodes have running at a runner. */
   public int running(String runner, Instant now) {
     return Math.toIntExact(sum(runner, now, PeerReport.Load::running));
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerRateLimit.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerRateLimit.java
@@ -1,21 +1,40 @@
 package org.dragonflyhill.core.relay;
 
+import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
- * The rate of requests that a runner says it accepts from all nodes together, if it names one.
+ * The rate of requests that a runner says it accepts from all nodes together, if it names one, and
+ * this node's share of it as a token bucket.
+ *
+ * <p>The bucket holds a single token and starts empty, so requests are spaced out, also after a
+ * pause.
  *
  * <p>Not thread-safe; no argument may be null.
  */
 public final class RunnerRateLimit {
 
-  private OptionalDouble perSecond = OptionalDouble.empty();
-  private Instant asOf = Instant.MIN;
+  /** Maximum age of a reading that is reported to peers; a newer one follows with each answer. */
+  static final Duration REPORTED_AGE = Duration.ofSeconds(10);
+
+  private static final double CAPACITY = 1;
+
+  /** Tolerance for rounding errors in the number of tokens. */
+  private static final double EPSILON = 1e-9;
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private Reading inForce = Reading.NONE;
+  private Optional<Reading> own = Optional.empty();
+  private double sharePerSecond;
+  private double tokens;
+  private Instant refilledAt = Instant.MIN;
 
   /** Returns the limit in force, in requests per second, empty if there is none. */
   public OptionalDouble perSecond() {
-    return perSecond;
+    return inForce.perSecond();
   }
 
   /**
@@ -28,16 +47,110 @@
    * @return whether the limit in force has changed
    */
   public boolean observe(OptionalDouble limit, Instant sentAt, Instant now) {
-    return apply(limit, limit.isPresent() ? now : sentAt);
+    Reading reading = new Reading(limit, limit.isPresent() ? now : sentAt);
+    if (limit.isEmpty() && inForce.equals(Reading.NONE)) {
+      return false;
+    }
+    if (own.isEmpty() || !reading.at().isBefore(own.get().at())) {
+      own = Optional.of(reading);
+    }
+    return apply(reading);
+  }
+
+  /**
+   * Records what another node has heard from the runner.
+   *
+   * @return whether the limit in force has changed
+   */
+  public boolean observeReported(OptionalDouble limit, Instant at) {
+    return apply(new Reading(limit, at));
   }
 
-  private boolean apply(OptionalDouble limit, Instant at) {
-    if (at.isBefore(asOf)) {
+  private boolean apply(Reading reading) {
+    if (reading.at().isBefore(inForce.at())) {
       return false;
     }
-    final boolean isChanged = !limit.equals(perSecond);
-    asOf = at;
-    perSecond = limit;
+    boolean isChanged = !reading.perSecond().equals(inForce.perSecond());
+    inForce = reading;
+    if (reading.perSecond().isEmpty()) {
+      setShare(0, reading.at());
+    }
     return isChanged;
   }
+
+  /**
+   * Returns the age of what this node itself has heard last, empty if that is nothing or long ago.
+   * Readings of peers are left out, so that they do not go round for ever.
+   */
+  Optional<Duration> ownReadingAge(Instant now) {
+    return own.map(reading -> Duration.between(reading.at(), now))
+        .filter(age -> age.compareTo(REPORTED_AGE) <= 0);
+  }
+
+  /** Returns what this node itself has heard, for its peers, empty if that is nothing or old. */
+  public Optional<RateLimitReport> report(long startedAtMillis, Instant now) {
+    return ownReadingAge(now)
+        .map(age -> new RateLimitReport(startedAtMillis, own.get().perSecond(), age));
+  }
+
+  /** Sets the share of the limit that this node may use, in requests per second. */
+  public void setShare(double perSecond, Instant now) {
+    refill(now);
+    sharePerSecond = perSecond;
+    if (perSecond == 0) {
+      tokens = 0;
+    }
+  }
+
+  /** Returns the share of the limit that this node may use, in requests per second. */
+  public double sharePerSecond() {
+    return sharePerSecond;
+  }
+
+  /** Returns whether this node may send a request now. */
+  public boolean isPermitted(Instant now) {
+    if (inForce.perSecond().isEmpty()) {
+      return true;
+    }
+    refill(now);
+    return tokens >= CAPACITY - EPSILON;
+  }
+
+  /** Records that a request is sent. */
+  public void recordRequest(Instant now) {
+    if (inForce.perSecond().isPresent()) {
+      refill(now);
+      tokens--;
+    }
+  }
+
+  /** Returns how long this node may send no request, empty if it has no share of the limit. */
+  public Optional<Duration> timeUntilPermitted(Instant now) {
+    if (isPermitted(now)) {
+      return Optional.of(Duration.ZERO);
+    }
+    return sharePerSecond == 0
+        ? Optional.empty()
+        : Optional.of(
+            Duration.ofNanos(
+                (long) Math.ceil((CAPACITY - tokens) / sharePerSecond * NANOS_PER_SECOND)));
+  }
+
+  private void refill(Instant now) {
+    if (sharePerSecond > 0 && now.isAfter(refilledAt)) {
+      double seconds = Duration.between(refilledAt, now).toNanos() / NANOS_PER_SECOND;
+      tokens = Math.min(CAPACITY, tokens + seconds * sharePerSecond);
+    }
+    refilledAt = now;
+  }
+
+  /**
+   * A limit and when it was heard of.
+   *
+   * @param perSecond requests per second, empty for no limit
+   * @param at time at which the runner certainly had this limit
+   */
+  private record Reading(OptionalDouble perSecond, Instant at) {
+    static final Reading NONE = new Reading(OptionalDouble.empty(), Instant.MIN);
+  }
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/SharedRetryBudget.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/SharedRetryBudget.java
@@ -29,6 +29,13 @@
     currentBucket(now).requests++;
   }
 
+  /** Returns the requests per second to the service over the window. */
+  public double requestsPerSecond(Instant now) {
+    currentBucket(now);
+    long requests = buckets.stream().mapToLong(bucket -> bucket.requests).sum();
+    return requests * 1_000.0 / limits.window().toMillis();
+  }
+
   /**
    * Tries to acquire one retry from the budget; returns whether the retry may be sent.
    *
--- a/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
@@ -12,12 +12,21 @@
 
   /** Returns a report of a node without load. */
   static PeerReport of(String node, String zone, long incarnation, long sequence) {
-    return report(node, zone, incarnation, sequence, Map.of());
+    return report(node, zone, incarnation, sequence, Map.of(), Map.of(), Map.of());
   }
 
   /** Returns the first report of a node with load. */
   static PeerReport withLoads(String node, Map<String, PeerReport.Load> loads) {
-    return report(node, "z1", 1, 1, loads);
+    return report(node, "z1", 1, 1, loads, Map.of(), Map.of());
+  }
+
+  /** Returns a report of a node with what it receives and what it knows of rate limits. */
+  static PeerReport withRates(
+      String node,
+      long sequence,
+      Map<String, Double> requestRates,
+      Map<String, RateLimitReport> rateLimits) {
+    return report(node, "z1", 1, sequence, Map.of(), requestRates, rateLimits);
   }
 
   private static PeerReport report(
@@ -25,7 +34,9 @@
       String zone,
       long incarnation,
       long sequence,
-      Map<String, PeerReport.Load> loads) {
+      Map<String, PeerReport.Load> loads,
+      Map<String, Double> requestRates,
+      Map<String, RateLimitReport> rateLimits) {
     return new PeerReport(
         node,
         zone,
@@ -42,6 +53,8 @@
         0,
         List.of(),
         OptionalLong.empty(),
-        CrashReport.EMPTY);
+        CrashReport.EMPTY,
+        requestRates,
+        rateLimits);
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.dragonflyhill.core.relay.CrashReport;
@@ -17,6 +18,7 @@
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.RateLimitReport;
 import org.dragonflyhill.core.relay.TopicProgress;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -28,7 +30,7 @@
 final class PeerDatagramCodec {
 
   /** Version of the encoding. Datagrams of other versions are rejected. */
-  private static final int SCHEMA_VERSION = 5;
+  private static final int SCHEMA_VERSION = 6;
 
   private static final int KIND_REPORT = 0;
   private static final int KIND_CHANGES = 1;
@@ -38,6 +40,9 @@
   /** Number of tokens that stands for a cleared holder. */
   private static final int CLEARED = -1;
 
+  /** Rate limit that stands for none. */
+  private static final double UNLIMITED = -1;
+
   /** Number of tokens that stands for an expected part. */
   private static final int EXPECTED = -2;
 
@@ -145,6 +150,43 @@
     packer.packBoolean(report.runnerClockMillis().isPresent());
     packer.packLong(report.runnerClockMillis().orElse(0));
     packCrashReport(report.crashReport(), packer);
+    packer.packMapHeader(report.requestRates().size());
+    for (Map.Entry<String, Double> service : report.requestRates().entrySet()) {
+      packer.packString(service.getKey()).packDouble(service.getValue());
+    }
+    packer.packMapHeader(report.rateLimits().size());
+    for (Map.Entry<String, RateLimitReport> runner : report.rateLimits().entrySet()) {
+      RateLimitReport limit = runner.getValue();
+      packer.packString(runner.getKey()).packLong(limit.startedAtMillis());
+      packer.packDouble(limit.perSecond().orElse(UNLIMITED)).packLong(limit.age().toMillis());
+    }
+  }
+
+  private static Map<String, Double> unpackRequestRates(MessageUnpacker unpacker)
+      throws IOException {
+    Map<String, Double> rates = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      rates.put(unpacker.unpackString(), unpacker.unpackDouble());
+    }
+    return rates;
+  }
+
+  private static Map<String, RateLimitReport> unpackRateLimits(MessageUnpacker unpacker)
+      throws IOException {
+    Map<String, RateLimitReport> limits = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      String runner = unpacker.unpackString();
+      long startedAtMillis = unpacker.unpackLong();
+      double perSecond = unpacker.unpackDouble();
+      Duration age = Duration.ofMillis(unpacker.unpackLong());
+      limits.put(
+          runner,
+          new RateLimitReport(
+              startedAtMillis,
+              perSecond == UNLIMITED ? OptionalDouble.empty() : OptionalDouble.of(perSecond),
+              age));
+    }
+    return limits;
   }
 
   private static void packCrashReport(CrashReport report, MessagePacker packer) throws IOException {
@@ -220,6 +262,8 @@
     final boolean hasClock = unpacker.unpackBoolean();
     final long clock = unpacker.unpackLong();
     final CrashReport crashReport = unpackCrashReport(unpacker);
+    final Map<String, Double> requestRates = unpackRequestRates(unpacker);
+    final Map<String, RateLimitReport> rateLimits = unpackRateLimits(unpacker);
     return new PeerReport(
         node,
         zone,
@@ -236,7 +280,9 @@
         nextPartChange,
         topics,
         hasClock ? OptionalLong.of(clock) : OptionalLong.empty(),
-        crashReport);
+        crashReport,
+        requestRates,
+        rateLimits);
   }
 
   private static void packTopic(TopicProgress progress, MessagePacker packer) throws IOException {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -26,6 +26,7 @@
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
 import org.dragonflyhill.core.relay.PeerSchedule;
+import org.dragonflyhill.core.relay.RateLimitReport;
 import org.dragonflyhill.core.relay.Runner;
 
 /**
@@ -185,6 +186,7 @@
     Set<String> changing = new HashSet<>();
     Map<String, Long> draining = new HashMap<>();
     Map<String, Long> weights = new HashMap<>();
+    Map<String, RateLimitReport> rateLimits = new HashMap<>();
     for (Runner runner : state.runners().all()) {
       if (runner.running() > 0) {
         loads.put(
@@ -197,6 +199,10 @@
       if (runner.isMarkedDraining()) {
         draining.put(runner.id(), runner.info().startedAtMillis());
       }
+      runner
+          .rateLimit()
+          .report(runner.info().startedAtMillis(), now)
+          .ifPresent(limit -> rateLimits.put(runner.id(), limit));
       runner
           .singleModelWeightVersion()
           .filter(version -> !runner.info().weightVersions().containsValue(version))
@@ -218,7 +224,9 @@
         state.partChanges().nextSequence(),
         state.sharedTopics().progress(now),
         state.runnerClockMillis(),
-        state.crashSuspects().report(now));
+        state.crashSuspects().report(now),
+        state.requestRates(),
+        rateLimits);
   }
 
   private void onDatagram(PeerDatagram datagram, Peer sender) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -23,6 +23,7 @@
 
   private static final Duration REQUEST_CHECK_INTERVAL = Duration.ofMillis(50);
   private static final Duration QUEUE_RETRY_INTERVAL = Duration.ofMillis(25);
+  private static final Duration RATE_LIMIT_INTERVAL = Duration.ofMillis(150);
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
 
   /** Maximum number of connections that wait to be accepted. */
@@ -67,7 +68,9 @@
     scheduleEvery(REQUEST_CHECK_INTERVAL, this::checkRequestTimeouts);
     scheduleEvery(QUEUE_RETRY_INTERVAL, () -> queue.retry(state.now()));
     scheduleEvery(SWEEP_INTERVAL, this::sweep);
+    scheduleEvery(RATE_LIMIT_INTERVAL, state::updateRateLimitShares);
     state.metrics().registerGauge("relay.waiting", queue::size);
+    state.metrics().registerGauge("relay.rate_limited_runners", state::rateLimitedRunners);
     state.metrics().registerGauge("relay.callers", callers::size);
     state.metrics().registerGauge("relay.running", activeRequests::size);
     state.metrics().registerGauge("relay.paused", this::pausedRequests);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -24,9 +24,13 @@
 import org.dragonflyhill.core.relay.PeerReport;
 import org.dragonflyhill.core.relay.PeerTable;
 import org.dragonflyhill.core.relay.Prompt;
+import org.dragonflyhill.core.relay.RateLimitForecast;
+import org.dragonflyhill.core.relay.RateLimitReport;
+import org.dragonflyhill.core.relay.RateLimitShares;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.RunnerInfo;
+import org.dragonflyhill.core.relay.RunnerRateLimit;
 import org.dragonflyhill.core.relay.RunnerSelector;
 import org.dragonflyhill.core.relay.RunnerTable;
 import org.dragonflyhill.core.relay.Service;
@@ -50,6 +54,7 @@
   /** Maximum random extension of the time for which a runner wants no requests, as a fraction. */
   private static final double MAX_BACKOFF_JITTER = 0.2;
 
+  private final String node;
   private final InstantSource clock;
   private final DecisionLog log;
   private final NodeMetrics metrics;
@@ -73,12 +78,14 @@
 
   /** Creates a state without configuration and runners. */
   public RelayState(
+      String node,
       String zone,
       SharedRetryBudget.Limits retryLimits,
       WeightsDeadline weightsDeadline,
       InstantSource clock,
       DecisionLog log,
       NodeMetrics metrics) {
+    this.node = node;
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
@@ -163,8 +170,10 @@
                 versions.forEach(
                     (version, age) -> announcedWeights.announce(model, version, now().minus(age))));
     report.runnerClockMillis().ifPresent(this::recordRunnerClock);
+    // The ages in a report that was overtaken by a newer one would make what it says seem recent.
     if (isNewest) {
       crashSuspects.merge(report.crashReport(), now());
+      recordReportedRateLimits(report);
     }
   }
 
@@ -424,7 +433,7 @@
             known -> {
               OptionalDouble before = runner.rateLimit().perSecond();
               if (runner.rateLimit().observe(known, sentAt, now())) {
-                logRateLimit(runner, before, "request " + requestId);
+                onRateLimitChanged(runner, before, "request " + requestId);
               }
             })
         .peekLeft(
@@ -438,7 +447,26 @@
                             .with("error", error)));
   }
 
-  private void logRateLimit(Runner runner, OptionalDouble before, String source) {
+  private void recordReportedRateLimits(PeerReport report) {
+    report
+        .rateLimits()
+        .forEach(
+            (id, limit) ->
+                runners
+                    .find(id)
+                    .filter(runner -> runner.info().startedAtMillis() == limit.startedAtMillis())
+                    .ifPresent(runner -> recordReportedRateLimit(runner, limit, report.node())));
+  }
+
+  private void recordReportedRateLimit(Runner runner, RateLimitReport report, String peer) {
+    OptionalDouble before = runner.rateLimit().perSecond();
+    if (runner.rateLimit().observeReported(report.perSecond(), now().minus(report.age()))) {
+      onRateLimitChanged(runner, before, "node " + peer);
+    }
+  }
+
+  private void onRateLimitChanged(Runner runner, OptionalDouble before, String source) {
+    updateRateLimitShare(runner);
     metrics.count("relay.rate_limit_changed");
     log.info(
         "rate_limit_changed",
@@ -447,9 +475,39 @@
                 .with("runner", runner.id())
                 .with("per_second", describe(runner.rateLimit().perSecond()))
                 .with("before", describe(before))
+                .with("share_per_second", runner.rateLimit().sharePerSecond())
                 .with("source", source));
   }
 
+  /** Adapts this node's shares of rate limits to the requests that all nodes receive. */
+  void updateRateLimitShares() {
+    runners.all().forEach(this::updateRateLimitShare);
+  }
+
+  private void updateRateLimitShare(Runner runner) {
+    RunnerRateLimit limit = runner.rateLimit();
+    if (limit.perSecond().isEmpty()) {
+      return;
+    }
+    String service = runner.info().service();
+    Map<String, Double> rates = peers.requestRates(service, now());
+    rates.put(node, retryBudget(service).requestsPerSecond(now()));
+    limit.setShare(
+        RateLimitShares.share(runner.id(), limit.perSecond().getAsDouble(), node, rates), now());
+  }
+
+  /** Returns the number of runners that limit the rate of requests. */
+  int rateLimitedRunners() {
+    return (int) runners.all().stream().filter(r -> r.rateLimit().perSecond().isPresent()).count();
+  }
+
+  /** Returns the requests per second that this node receives, by service. */
+  Map<String, Double> requestRates() {
+    Map<String, Double> rates = new HashMap<>();
+    retryBudgets.forEach((service, budget) -> rates.put(service, budget.requestsPerSecond(now())));
+    return rates;
+  }
+
   private static String describe(OptionalDouble limit) {
     return limit.isPresent() ? Double.toString(limit.getAsDouble()) : "none";
   }
@@ -490,6 +548,22 @@
     return reachable.isEmpty() ? available : reachable;
   }
 
+  /** Returns those of {@link #reachable} that their rate limits permit a request to. */
+  List<Runner> permitted(String service) {
+    Instant now = now();
+    return reachable(service).stream()
+        .filter(runner -> runner.rateLimit().isPermitted(now))
+        .toList();
+  }
+
+  /** Returns when runners of a service that only their rate limits hold back accept requests. */
+  Optional<RateLimitForecast> rateLimitForecast(String service) {
+    Instant now = now();
+    return RateLimitForecast.of(
+        reachable(service).stream().filter(runner -> !runner.rateLimit().isPermitted(now)).toList(),
+        now);
+  }
+
   /**
    * Returns the cache salt of a model's weight version. The caches of isolated organisations have
    * salts of their own.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -25,11 +25,13 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.Admission;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.EventStream;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.Prompt;
+import org.dragonflyhill.core.relay.RateLimitForecast;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.Route;
 import org.dragonflyhill.core.relay.Runner;
@@ -212,10 +214,15 @@
     List<Runner> candidates = untriedRunners();
     Optional<Attempt> next = chooseRunner(candidates, now);
     if (next.isEmpty()) {
-      failWithoutRunner(!candidates.isEmpty());
+      if (!candidates.isEmpty() || !waitForRateLimit(now)) {
+        failWithoutRunner(!candidates.isEmpty());
+      }
       return;
     }
     Attempt chosen = next.get();
+    if (chosen.runner.rateLimit().perSecond().isPresent() && waitBehindOthers(now)) {
+      return;
+    }
     if (attempts == 0 && chosen.selection != null) {
       Optional<Duration> retryAfter =
           Admission.refusal(chosen.selection, route.targetLatency(), isRetry());
@@ -224,7 +231,7 @@
         return;
       }
       if (!Admission.hasRoom(chosen.selection) && !isWaitOver(now)) {
-        enqueue(chosen.selection, now);
+        enqueue(chosen.selection.explanation(), now);
         return;
       }
     }
@@ -235,6 +242,7 @@
   private void connect(Attempt chosen) {
     currentAttempt = Optional.of(chosen);
     triedRunners.add(chosen.runner.id());
+    chosen.runner.rateLimit().recordRequest(state.now());
     server
         .runnerConnections()
         .acquire(
@@ -265,10 +273,46 @@
         Optional.empty());
   }
 
+  /** Queues the request if the rate limits of the runners will permit it soon. */
+  private boolean waitForRateLimit(Instant now) {
+    if (attempts > 0 || isWaitOver(now)) {
+      return false;
+    }
+    Optional<RateLimitForecast> forecast = state.rateLimitForecast(pool.name());
+    boolean mayWait =
+        forecast
+            .filter(known -> isQueued || known.mayWaitBehind(waitingAhead(), route.targetLatency()))
+            .isPresent();
+    if (mayWait) {
+      enqueue(forecast.get().explanation(), now);
+    }
+    return mayWait;
+  }
+
+  /** Queues a new request if others that are as urgent wait already. */
+  private boolean waitBehindOthers(Instant now) {
+    if (attempts > 0 || isQueued || waitingAhead() == 0) {
+      return false;
+    }
+    enqueue(waitingAhead() + " requests wait already", now);
+    return true;
+  }
+
+  private int waitingAhead() {
+    return server.queue().waitingAhead(pool.name(), rank());
+  }
+
   private void failWithoutRunner(boolean hasCandidates) {
     Optional<Duration> backoffLeft = state.backoffLeft(pool.name());
+    Optional<RateLimitForecast> forecast = state.rateLimitForecast(pool.name());
     if (hasCandidates) {
       fail("weights_replaced", "all runners left have replaced weights", NO_RUNNER_RETRY_AFTER);
+    } else if (forecast.isPresent()) {
+      double spread = ThreadLocalRandom.current().nextDouble();
+      fail(
+          "runners_rate_limited",
+          forecast.get().explanation(),
+          forecast.get().retryAfter(waitingAhead(), spread));
     } else if (backoffLeft.isPresent()) {
       fail("runners_busy", "all runners of " + pool.name() + " want a pause", backoffLeft.get());
     } else {
@@ -276,15 +320,15 @@
     }
   }
 
-  /** Returns the runners that accept requests and have not been tried for this one. */
+  /** Returns the runners that this request may be sent to now and has not been sent to yet. */
   private List<Runner> untriedRunners() {
-    return state.reachable(pool.name()).stream()
+    return state.permitted(pool.name()).stream()
         .filter(runner -> !triedRunners.contains(runner.id()))
         .toList();
   }
 
   /** Queues the request at this node; {@link RequestQueue} retries it until its wait is over. */
-  private void enqueue(RunnerSelector.Selection selection, Instant now) {
+  private void enqueue(String explanation, Instant now) {
     if (waitUntil.equals(Instant.MAX)) {
       state
           .log()
@@ -295,11 +339,11 @@
                       .with("request", id())
                       .with("route", route.name())
                       .with("rank", rank())
-                      .with("detail", selection.explanation()));
+                      .with("detail", explanation));
       waitUntil = now.plus(Admission.maxWait(route.targetLatency()));
       state.metrics().count("relay.waited");
-      server.queue().add(this);
     }
+    server.queue().add(this);
     isQueued = true;
   }
 
@@ -400,6 +444,16 @@
     return RelayConfiguration.rank(route, organisation);
   }
 
+  @Override
+  public String service() {
+    return pool.name();
+  }
+
+  @Override
+  public Optional<String> organisation() {
+    return organisation.map(Organisation::name);
+  }
+
   private void onConnectFailed(Attempt chosen, Throwable error) {
     if (isFinished || currentAttempt.filter(chosen::equals).isEmpty()) {
       return;
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -16,6 +17,7 @@
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.RateLimitReport;
 import org.dragonflyhill.core.relay.TopicProgress;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -57,7 +59,13 @@
           OptionalLong.of(123_456),
           new CrashReport(
               Map.of("m/bad0", Map.of("i-1@17", Duration.ofMillis(40))),
-              Map.of("m/c0", Duration.ofMillis(7))));
+              Map.of("m/c0", Duration.ofMillis(7))),
+          Map.of("s", 17.5),
+          Map.of(
+              "r1",
+              new RateLimitReport(17, OptionalDouble.of(3.7), Duration.ofMillis(20)),
+              "r2",
+              new RateLimitReport(18, OptionalDouble.empty(), Duration.ofMillis(30))));
 
   /** One datagram of each kind. */
   @DataProvider
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
@@ -1,15 +1,18 @@
 package org.dragonflyhill.daemon.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.dragonflyhill.core.relay.CrashReport;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.RateLimitReport;
 import org.dragonflyhill.core.relay.RunnerInfo;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
 import org.dragonflyhill.core.relay.WeightsDeadline;
@@ -29,6 +32,7 @@
     MonotonicClock clock = new MonotonicClock();
     state =
         new RelayState(
+            "n1",
             "z1",
             new SharedRetryBudget.Limits(Duration.ofSeconds(10), 0.2, 52, 0.6),
             new WeightsDeadline(Duration.ofSeconds(6)),
@@ -52,6 +56,11 @@
   }
 
   private static PeerReport report(long sequence, Map<String, Long> drainingRunners) {
+    return report(sequence, drainingRunners, Map.of());
+  }
+
+  private static PeerReport report(
+      long sequence, Map<String, Long> drainingRunners, Map<String, RateLimitReport> rateLimits) {
     return new PeerReport(
         "front-2",
         "z1",
@@ -68,7 +77,9 @@
         0,
         List.of(),
         OptionalLong.empty(),
-        CrashReport.EMPTY);
+        CrashReport.EMPTY,
+        Map.of(),
+        rateLimits);
   }
 
   /** A runner that a peer knows to be draining gets no requests, but its next process does. */
@@ -85,4 +96,24 @@
     state.recordPeerReport(report(3, Map.of("r1", 1L)));
     assertEquals(state.reachable("s").size(), 1, "a late report of the process before");
   }
+
+  /** A rate limit that a peer knows holds here too, for that process of the runner alone. */
+  @Test
+  public void peersTellRateLimits() {
+    state.recordPeerReport(report(1, Map.of(), limitOf(7, OptionalDouble.of(4))));
+    assertEquals(state.permitted("s").size(), 1, "another process of the runner");
+    state.recordPeerReport(report(2, Map.of(), limitOf(1, OptionalDouble.of(4))));
+    assertEquals(state.permitted("s").size(), 0, "the share starts without a token");
+    assertTrue(state.rateLimitForecast("s").isPresent());
+    state.recordPeerReport(report(1, Map.of(), limitOf(1, OptionalDouble.empty())));
+    assertEquals(state.permitted("s").size(), 0, "an overtaken report");
+    state.recordPeerReport(report(3, Map.of(), limitOf(1, OptionalDouble.empty())));
+    assertEquals(state.permitted("s").size(), 1);
+    assertTrue(state.rateLimitForecast("s").isEmpty());
+  }
+
+  private static Map<String, RateLimitReport> limitOf(
+      long startedAtMillis, OptionalDouble perSecond) {
+    return Map.of("r1", new RateLimitReport(startedAtMillis, perSecond, Duration.ZERO));
+  }
 }
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -55,6 +55,7 @@
     MonotonicClock clock = new MonotonicClock();
     state =
         new RelayState(
+            "n1",
             "z",
             new SharedRetryBudget.Limits(Duration.ofSeconds(10), 0.2, 10, 0.5),
             new WeightsDeadline(Duration.ofSeconds(60)),
