Log which requests a crashed runner was about to answer

Crashes were looked for only after answers to prompts. They are now looked for after every answer that breaks off early, and runner_crashed names each request with its fingerprint, a digest of caller, method, host, target and body that is equal for requests that are alike. Nothing is decided by it yet.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -33,6 +33,7 @@
 import org.dragonflyhill.core.relay.Prompt;
 import org.dragonflyhill.core.relay.RateLimitForecast;
 import org.dragonflyhill.core.relay.RelayConfiguration;
+import org.dragonflyhill.core.relay.RequestFingerprint;
 import org.dragonflyhill.core.relay.Route;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.RunnerSelector;
@@ -99,6 +100,7 @@
   private Optional<Organisation> organisation = Optional.empty();
   private Instant callerDeadline = Instant.MAX;
   private Instant deadline = Instant.MAX;
+  private String fingerprint = "";
   private int attempts;
   private int unreachableRunners;
 
@@ -201,6 +203,26 @@
     return requestHeaders == null ? "" : requestHeaders.id().orElse("");
   }
 
+  private List<String> sharedPartKeys() {
+    return requestHeaders.prompt().map(Prompt::sharedPartKeys).orElse(List.of());
+  }
+
+  /** Returns what this request has in common with those that are alike. */
+  private String fingerprint() {
+    if (fingerprint.isEmpty()) {
+      String organisationName = organisation.map(Organisation::name).orElse("");
+      String caller = requestHeaders.apiKey().filter(key -> organisation.isEmpty()).orElse("");
+      fingerprint =
+          RequestFingerprint.of(
+              organisationName + '\n' + caller,
+              request.method().name(),
+              request.headers().get(HttpHeaderNames.HOST),
+              request.uri(),
+              body.nioBuffer());
+    }
+    return fingerprint;
+  }
+
   private void dispatch() {
     if (isFinished) {
       return;
@@ -1120,13 +1142,12 @@
       runner.recordFailure(1, state.now());
       mayHaveRun = true;
       logAttempt("answer_failed", this, reason);
-      // The head of an answer may be lost in the crash, so unanswered prompts are suspect too.
+      // The head of an answer may be lost in the crash, so unanswered requests are suspect too.
       if (!hasResponse || answerAge().compareTo(SUSPECT_ANSWER_AGE) <= 0) {
-        requestHeaders
-            .prompt()
-            .ifPresent(
-                prompt ->
-                    server.crashDetector().onAnswerBrokenOff(runner, prompt.sharedPartKeys()));
+        server
+            .crashDetector()
+            .onAnswerBrokenOff(
+                runner, new RunnerCrashDetector.Suspect(id(), fingerprint(), sharedPartKeys()));
       }
       if (silentAttempt.filter(this::equals).isPresent()) {
         cancelSilentAttempt();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,8 +24,8 @@
   private final RelayState state;
   private final RunnerConnectionPool connections;
 
-  /** Prompt parts of the answers that broke off, by the runner that is being checked. */
-  private final Map<String, Set<String>> partsByRunner = new HashMap<>();
+  /** Requests whose answers broke off, by the runner that is being checked. */
+  private final Map<String, List<Suspect>> suspectsByRunner = new HashMap<>();
 
   RunnerCrashDetector(EventLoop loop, RelayState state, RunnerConnectionPool connections) {
     this.loop = loop;
@@ -36,15 +37,15 @@
    * Checks a runner after an answer broke off that had just begun, or had not begun yet.
    *
    * @param runner the runner
-   * @param parts keys of the shared parts of the answer's prompt
+   * @param suspect the request that was to be answered
    */
-  void onAnswerBrokenOff(Runner runner, List<String> parts) {
-    Set<String> known = partsByRunner.get(runner.id());
+  void onAnswerBrokenOff(Runner runner, Suspect suspect) {
+    List<Suspect> known = suspectsByRunner.get(runner.id());
     if (known != null) {
-      known.addAll(parts);
+      known.add(suspect);
       return;
     }
-    partsByRunner.put(runner.id(), new TreeSet<>(parts));
+    suspectsByRunner.put(runner.id(), new ArrayList<>(List.of(suspect)));
     connections.open(
         runner.info().endpoint(),
         connection ->
@@ -71,12 +72,14 @@
   }
 
   private void onAlive(Runner runner, RunnerConnection connection) {
-    partsByRunner.remove(runner.id());
+    suspectsByRunner.remove(runner.id());
     connections.release(connection);
   }
 
   private void onCrashed(Runner runner) {
-    Set<String> parts = partsByRunner.remove(runner.id());
+    List<Suspect> suspects = suspectsByRunner.remove(runner.id());
+    Set<String> parts = new TreeSet<>();
+    suspects.forEach(suspect -> parts.addAll(suspect.parts()));
     String crash = runner.id() + '@' + runner.info().startedAtMillis();
     state.crashSuspects().recordCrash(crash, parts, state.now());
     state.metrics().count("relay.runner_crashed");
@@ -84,6 +87,24 @@
         .log()
         .info(
             "runner_crashed",
-            event -> event.with("runner", runner.id()).with("suspect_parts", parts));
+            event ->
+                event
+                    .with("runner", runner.id())
+                    .with("suspect_parts", parts)
+                    .with("suspect_requests", suspects.stream().map(Suspect::label).toList()));
+  }
+
+  /**
+   * A request whose answer broke off.
+   *
+   * @param id id of the request
+   * @param fingerprint what it has in common with requests that are alike
+   * @param parts keys of the shared parts of its prompt
+   */
+  record Suspect(String id, String fingerprint, List<String> parts) {
+
+    private String label() {
+      return id + '=' + fingerprint;
+    }
   }
 }
