Stop sending requests that crash the runners that run them

Cause: crashes were held against parts of prompts only. A request without a prompt left no evidence, and one with a prompt was cleared by sound answers to its neighbours (hypothesis 1). The node itself sent the request on to the next runner (2), and three crashes within 240 ms would have counted as runners that ended together (3).

Change: a request that comes again is a suspect like a part, known by its fingerprint. The suspects share one table, so each explains the crashes of the other: a part whose crashes are all those of a blocked request does not keep sound prompts away, and the other way round. Crashes of runners to which the request was sent after the crash before count without the 0.6 s between the first and the last; peers are told the times. Once a runner has crashed under a request, nodes do not send it on after an answer that breaks off. A crash counts from the moment the answer broke off, not from its detection.

The reports of peers have a new field, so the schema of datagrams is 7.

--- a/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
@@ -14,60 +14,86 @@
 import java.util.stream.Stream;
 
 /**
- * Prompt parts under which runners crashed while they began an answer, as seen by all nodes.
+ * Prompt parts and requests under which runners crashed while they began an answer, as seen by all
+ * nodes. A request is known by its {@link RequestFingerprint}, since it comes again under other
+ * ids.
  *
- * <p>A crash makes every part suspect that the runner had just begun to answer. Since sound prompts
- * share parts with the one that caused it, an answer that is sound clears its parts of all crashes
- * before it began. A part with several crashes since, which did not all come at once, is blocked
- * until they are old.
+ * <p>A crash makes every request suspect that the runner had just begun to answer, and every part
+ * of their prompts. Since sound requests were there too, and share parts with the one that caused
+ * it, an answer that is sound clears its request and its parts of all crashes before it began. A
+ * suspect with several crashes since, which did not all come at once, is blocked until they are
+ * old.
  *
  * <p>Not thread-safe; no argument may be null.
  */
 public final class CrashSuspects {
 
-  /** Number of crashes without a sound answer since from which a part is blocked. */
+  /** Number of crashes without a sound answer since from which a suspect is blocked. */
   public static final int BLOCKING_CRASHES = 3;
 
   /**
-   * Minimum time from the first to the last of these crashes. Runners that end together, with their
-   * rack for example, say nothing of the prompts that they were about to answer.
+   * Minimum time from the first to the last of these crashes, unless a request was sent to each
+   * runner after the one before had crashed under it. Runners that end together, with their rack
+   * for example, say nothing of what they were about to answer.
    */
   public static final Duration BLOCKING_SPAN = Duration.ofMillis(600);
 
   /** Time after which a crash is forgotten. */
   public static final Duration CRASH_MEMORY = Duration.ofMinutes(10);
 
-  /** Maximum number of parts that are remembered. */
+  /** Maximum number of suspects that are remembered. */
   static final int MAX_PARTS = 512;
 
-  /** Maximum number of crashes that are remembered for a part: the oldest and the newest ones. */
+  /**
+   * Maximum number of crashes that are remembered for a suspect: the oldest and the newest ones.
+   */
   static final int MAX_CRASHES_PER_PART = 16;
 
-  /** Maximum number of suspect parts, and of cleared ones, in a report. */
+  /** Maximum number of suspect parts, of suspect requests, and of cleared suspects in a report. */
   static final int MAX_REPORTED_PARTS = 32;
 
   /**
-   * Time for which a part with a single crash is reported. Most of these parts were only by chance
-   * at a runner that crashed.
+   * Time for which a suspect with a single crash is reported. Most of them were only by chance at a
+   * runner that crashed.
    */
   static final Duration SINGLE_CRASH_REPORTING = Duration.ofSeconds(10);
 
   /** Time for which a sound answer is reported after it cleared a crash, also one of a peer. */
   private static final Duration SOUND_ANSWER_REPORTING = Duration.ofSeconds(3);
 
+  /** Prefix of the keys of requests. The keys of parts contain a slash. */
+  private static final String REQUEST_PREFIX = "request:";
+
   private static final Comparator<Suspect> MOST_SUSPECT_FIRST =
       Comparator.comparingInt(Suspect::crashCount).thenComparing(Suspect::newestCrash).reversed();
 
   private final Map<String, Suspect> suspects = new HashMap<>();
 
-  /** When the newest sound answers began, by part, those recorded last at the end. */
+  /** When the newest sound answers began, by suspect, those recorded last at the end. */
   private final Map<String, Instant> soundAnswers = new LinkedHashMap<>();
 
-  /** Returns whether no part is suspect, or was lately. */
+  /** Returns the key of a request with a fingerprint. */
+  public static String requestKey(String fingerprint) {
+    return REQUEST_PREFIX + fingerprint;
+  }
+
+  /** Returns whether a key is that of a request and not of a part of a prompt. */
+  public static boolean isRequest(String key) {
+    return key.startsWith(REQUEST_PREFIX);
+  }
+
+  /** Returns whether nothing is suspect, or was lately. */
   public boolean isEmpty() {
     return suspects.isEmpty();
   }
 
+  /** Returns whether a runner has crashed under a part or request without a sound answer since. */
+  public boolean isSuspect(String key) {
+    return Optional.ofNullable(suspects.get(key))
+        .filter(suspect -> suspect.crashCount() > 0)
+        .isPresent();
+  }
+
   /**
    * Records the crash of a runner.
    *
@@ -81,10 +107,25 @@
     removeExcess();
   }
 
+  /**
+   * Records that a runner crashed which had just begun to run a request, or was about to.
+   *
+   * @param crash identifier of the crash, equal for all nodes that see it
+   * @param request key of the request
+   * @param sentAt when the request was sent to the runner
+   * @param at when the runner crashed
+   */
+  public void recordRequestCrash(String crash, String request, Instant sentAt, Instant at) {
+    Suspect suspect = suspect(request);
+    suspect.addCrash(crash, at);
+    suspect.addSentRequest(crash, sentAt);
+    removeExcess();
+  }
+
   /**
    * Records an answer that its runner completed or went on with for a while.
    *
-   * @param parts shared parts of its prompt
+   * @param parts shared parts of its prompt, and the key of the request if it is suspect
    * @param begunAt when the answer began
    */
   public void recordSoundAnswer(Collection<String> parts, Instant begunAt) {
@@ -102,23 +143,23 @@
   }
 
   /**
-   * Returns the first of a prompt's parts for which the prompt is blocked. A part that was in no
-   * crash without a certain other blocked one does not block prompts that lack the other: they show
-   * which of the two is bad.
+   * Returns the first of the keys of a request and its prompt's parts for which it is blocked. A
+   * suspect that was in no crash without a certain other blocked one does not block requests that
+   * lack the other: they show which of the two is bad.
    */
-  public Optional<String> blockedPart(Collection<String> parts, Instant now) {
-    return parts.stream().filter(part -> isBlocked(part, parts, now)).findFirst();
+  public Optional<String> blockedSuspect(Collection<String> keys, Instant now) {
+    return keys.stream().filter(key -> isBlocked(key, keys, now)).findFirst();
   }
 
-  private boolean isBlocked(String part, Collection<String> parts, Instant now) {
-    Suspect suspect = suspects.get(part);
+  private boolean isBlocked(String key, Collection<String> keys, Instant now) {
+    Suspect suspect = suspects.get(key);
     if (suspect == null) {
       return false;
     }
     suspect.forgetCrashes(now);
     return suspect.isBlocked()
         && suspects.entrySet().stream()
-            .filter(other -> other.getValue().isBlocked() && !parts.contains(other.getKey()))
+            .filter(other -> other.getValue().isBlocked() && !keys.contains(other.getKey()))
             .noneMatch(other -> other.getValue().hasCrashesOf(suspect));
   }
 
@@ -126,6 +167,8 @@
   public CrashReport report(Instant now) {
     removeForgotten(now);
     Map<String, Map<String, Duration>> crashes = new HashMap<>();
+    Map<String, Map<String, Duration>> sentRequests = new HashMap<>();
+    int parts = 0;
     Map<String, Duration> answerAges = new HashMap<>();
     List<Map.Entry<String, Suspect>> sorted =
         suspects.entrySet().stream()
@@ -133,14 +176,21 @@
             .toList();
     for (Map.Entry<String, Suspect> entry : sorted) {
       Suspect suspect = entry.getValue();
-      if (suspect.isReportable(now) && crashes.size() < MAX_REPORTED_PARTS) {
+      boolean isRequest = isRequest(entry.getKey());
+      int reported = isRequest ? sentRequests.size() : parts;
+      if (suspect.isReportable(now) && reported < MAX_REPORTED_PARTS) {
         crashes.put(entry.getKey(), suspect.crashAges(now));
+        if (isRequest) {
+          sentRequests.put(entry.getKey(), suspect.sentRequestAges(now));
+        } else {
+          parts++;
+        }
       }
       if (suspect.isSoundAnswerMissedByPeer(now) && answerAges.size() < MAX_REPORTED_PARTS) {
         answerAges.put(entry.getKey(), Duration.between(suspect.ownSoundAnswer, now));
       }
     }
-    return new CrashReport(crashes, answerAges);
+    return new CrashReport(crashes, sentRequests, answerAges);
   }
 
   /** Adds what another node knows. */
@@ -152,6 +202,12 @@
               Suspect suspect = suspect(part);
               ages.forEach((crash, age) -> suspect.addReportedCrash(crash, now.minus(age), now));
             });
+    report
+        .sentRequests()
+        .forEach(
+            (request, ages) ->
+                ages.forEach(
+                    (crash, age) -> suspect(request).addSentRequest(crash, now.minus(age))));
     report
         .soundAnswers()
         .forEach(
@@ -203,6 +259,9 @@
     /** Earliest known times of the crashes, including those that a sound answer has cleared. */
     private final Map<String, Instant> crashes = new LinkedHashMap<>();
 
+    /** When a suspect request was last sent to the runner, by crash; empty for a part. */
+    private final Map<String, Instant> sentRequests = new HashMap<>();
+
     private Instant clearedUntil;
     private Instant ownSoundAnswer;
     private Instant clearedCrashAt = Instant.MIN;
@@ -222,7 +281,44 @@
 
     boolean isBlocked() {
       return crashCount() >= BLOCKING_CRASHES
-          && Duration.between(oldestCrash(), newestCrash()).compareTo(BLOCKING_SPAN) >= 0;
+          && (successiveCrashes() >= BLOCKING_CRASHES
+              || Duration.between(oldestCrash(), newestCrash()).compareTo(BLOCKING_SPAN) >= 0);
+    }
+
+    /**
+     * Returns the number of crashes of runners to which the request was sent after the crash before
+     * had happened, so that these are not crashes of runners that ended together.
+     */
+    private int successiveCrashes() {
+      int count = 0;
+      Instant last = Instant.MIN;
+      List<Map.Entry<String, Instant>> sorted =
+          crashes.entrySet().stream()
+              .filter(crash -> isOpen(crash.getValue()))
+              .sorted(Map.Entry.comparingByValue())
+              .toList();
+      for (Map.Entry<String, Instant> crash : sorted) {
+        Instant sentAt = sentRequests.getOrDefault(crash.getKey(), Instant.MIN);
+        if (count == 0 || !sentAt.isBefore(last)) {
+          count++;
+          last = crash.getValue();
+        }
+      }
+      return count;
+    }
+
+    void addSentRequest(String crash, Instant at) {
+      if (crashes.containsKey(crash)) {
+        sentRequests.merge(crash, at, CrashSuspects::later);
+      }
+      sentRequests.keySet().retainAll(crashes.keySet());
+    }
+
+    Map<String, Duration> sentRequestAges(Instant now) {
+      return sentRequests.entrySet().stream()
+          .filter(sent -> crashes.containsKey(sent.getKey()) && isOpen(crashes.get(sent.getKey())))
+          .collect(
+              Collectors.toMap(Map.Entry::getKey, sent -> Duration.between(sent.getValue(), now)));
     }
 
     boolean hasCrashesOf(Suspect other) {
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerReport.java
@@ -26,7 +26,7 @@
  * @param nextPartChange sequence number that the node's next part change will have
  * @param topics how far the node has read the topics that it reads for its peers
  * @param runnerClockMillis the runners' clock at the time of the report, empty if unknown
- * @param crashReport prompt parts under which runners crashed
+ * @param crashReport prompt parts and requests under which runners crashed
  * @param requestRates requests per second that the node receives, by service
  * @param rateLimits rates of requests that runners accept, by runner id
  */
--- a/core/src/test/java/org/dragonflyhill/core/relay/CrashPatternTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/CrashPatternTest.java
@@ -272,7 +272,7 @@
     }
 
     private boolean isRefused(Request request) {
-      return nodes[request.node].blockedPart(request.parts, time()).isPresent();
+      return nodes[request.node].blockedSuspect(request.parts, time()).isPresent();
     }
 
     private void dispatch(Request request) {
--- a/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
@@ -4,22 +4,27 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests which prompt parts are blocked after runners crashed. */
+/** Tests which prompt parts and requests are blocked after runners crashed. */
 public final class CrashSuspectsTest {
 
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
   private static final List<String> BAD_PROMPT = List.of("m/common", "m/bad");
   private static final List<String> SOUND_PROMPT = List.of("m/common", "m/other");
 
+  private static final String REQUEST = CrashSuspects.requestKey("c0ffee");
+
   /** Time between crashes by which the number that blocks a part is far enough apart. */
   private static final long STEP =
       CrashSuspects.BLOCKING_SPAN.toMillis() / (CrashSuspects.BLOCKING_CRASHES - 1) + 10;
@@ -40,12 +45,12 @@
   public void blocksThePartThatSoundAnswersLack() {
     var suspects = new CrashSuspects();
     for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
-      assertEquals(suspects.blockedPart(BAD_PROMPT, at(i * STEP)), Optional.empty());
+      assertEquals(suspects.blockedSuspect(BAD_PROMPT, at(i * STEP)), Optional.empty());
       crash(suspects, i, i * STEP);
       suspects.recordSoundAnswer(SOUND_PROMPT, at(i * STEP + 50));
     }
-    assertEquals(suspects.blockedPart(BAD_PROMPT, at(LAST + 100)), Optional.of("m/bad"));
-    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(LAST + 100)), Optional.empty());
+    assertEquals(suspects.blockedSuspect(BAD_PROMPT, at(LAST + 100)), Optional.of("m/bad"));
+    assertEquals(suspects.blockedSuspect(SOUND_PROMPT, at(LAST + 100)), Optional.empty());
   }
 
   /** A part whose only sound prompts are new ones is cleared by them, although it was blocked. */
@@ -55,12 +60,12 @@
     for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
       crash(suspects, i, i * STEP);
     }
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(LAST + 100)).isPresent());
-    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(LAST + 100)), Optional.empty());
+    assertTrue(suspects.blockedSuspect(BAD_PROMPT, at(LAST + 100)).isPresent());
+    assertEquals(suspects.blockedSuspect(SOUND_PROMPT, at(LAST + 100)), Optional.empty());
     // It was the common part after all.
     suspects.recordCrash("another", SOUND_PROMPT, at(LAST + 200));
-    assertEquals(suspects.blockedPart(SOUND_PROMPT, at(LAST + 300)), Optional.of("m/common"));
-    assertEquals(suspects.blockedPart(List.of("m/bad"), at(LAST + 300)), Optional.empty());
+    assertEquals(suspects.blockedSuspect(SOUND_PROMPT, at(LAST + 300)), Optional.of("m/common"));
+    assertEquals(suspects.blockedSuspect(List.of("m/bad"), at(LAST + 300)), Optional.empty());
   }
 
   /** One crash that several nodes or requests report counts once. */
@@ -70,7 +75,7 @@
     for (int i = 0; i < 10; i++) {
       crash(suspects, 1, i * STEP);
     }
-    assertEquals(suspects.blockedPart(BAD_PROMPT, at(20 * STEP)), Optional.empty());
+    assertEquals(suspects.blockedSuspect(BAD_PROMPT, at(20 * STEP)), Optional.empty());
   }
 
   /** A part that was sound for a while and then crashes runners is blocked all the same. */
@@ -82,7 +87,7 @@
     for (int i = 1; i <= CrashSuspects.BLOCKING_CRASHES; i++) {
       crash(suspects, i, 1_000 + i * STEP);
     }
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(2_000 + LAST)).isPresent());
+    assertTrue(suspects.blockedSuspect(BAD_PROMPT, at(2_000 + LAST)).isPresent());
   }
 
   /** An answer that began before a crash and ends after it says nothing about its part. */
@@ -93,7 +98,7 @@
       crash(suspects, i, 100 + i * STEP);
     }
     suspects.recordSoundAnswer(BAD_PROMPT, at(50));
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(LAST + 200)).isPresent());
+    assertTrue(suspects.blockedSuspect(BAD_PROMPT, at(LAST + 200)).isPresent());
   }
 
   /** After a crash is forgotten, a single further crash blocks the part again. */
@@ -104,9 +109,9 @@
       crash(suspects, i, i * 1_000);
     }
     long later = CrashSuspects.CRASH_MEMORY.toMillis() + 500;
-    assertEquals(suspects.blockedPart(BAD_PROMPT, at(later)), Optional.empty());
+    assertEquals(suspects.blockedSuspect(BAD_PROMPT, at(later)), Optional.empty());
     crash(suspects, 9, later + 1);
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(later + 2)).isPresent());
+    assertTrue(suspects.blockedSuspect(BAD_PROMPT, at(later + 2)).isPresent());
   }
 
   /** Numbers of nodes that see the crashes in turn. */
@@ -127,13 +132,13 @@
     }
     exchange(all, LAST + 100);
     for (CrashSuspects node : all) {
-      assertEquals(node.blockedPart(BAD_PROMPT, at(LAST + 110)), Optional.of("m/common"));
+      assertEquals(node.blockedSuspect(BAD_PROMPT, at(LAST + 110)), Optional.of("m/common"));
     }
     // Each node sees sound answers with the common part.
     all.forEach(node -> node.recordSoundAnswer(SOUND_PROMPT, at(LAST + 120)));
     exchange(all, LAST + 200);
     for (CrashSuspects node : all) {
-      assertEquals(node.blockedPart(BAD_PROMPT, at(LAST + 210)), Optional.of("m/bad"));
+      assertEquals(node.blockedSuspect(BAD_PROMPT, at(LAST + 210)), Optional.of("m/bad"));
     }
   }
 
@@ -153,8 +158,8 @@
     exchange(List.of(one, other), LAST + 10);
     other.recordSoundAnswer(List.of("m/common"), at(LAST + 20));
     exchange(List.of(one, other), LAST + 30);
-    assertEquals(one.blockedPart(List.of("m/common"), at(LAST + 40)), Optional.empty());
-    assertTrue(one.blockedPart(BAD_PROMPT, at(LAST + 40)).isPresent());
+    assertEquals(one.blockedSuspect(List.of("m/common"), at(LAST + 40)), Optional.empty());
+    assertTrue(one.blockedSuspect(BAD_PROMPT, at(LAST + 40)).isPresent());
   }
 
   /** A node that restarts learns what is blocked from one report of any peer. */
@@ -168,7 +173,7 @@
     witness.merge(one.report(at(LAST + 10)), at(LAST + 11));
     var restarted = new CrashSuspects();
     restarted.merge(witness.report(at(LAST + 20)), at(LAST + 21));
-    assertTrue(restarted.blockedPart(BAD_PROMPT, at(LAST + 30)).isPresent());
+    assertTrue(restarted.blockedSuspect(BAD_PROMPT, at(LAST + 30)).isPresent());
   }
 
   /** Runners that end together block no part, however many they are. */
@@ -178,9 +183,9 @@
     for (int i = 0; i < 10; i++) {
       crash(suspects, i, i * 50);
     }
-    assertEquals(suspects.blockedPart(BAD_PROMPT, at(60_000)), Optional.empty());
+    assertEquals(suspects.blockedSuspect(BAD_PROMPT, at(60_000)), Optional.empty());
     crash(suspects, 10, CrashSuspects.BLOCKING_SPAN.toMillis());
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(60_000)).isPresent());
+    assertTrue(suspects.blockedSuspect(BAD_PROMPT, at(60_000)).isPresent());
   }
 
   /** A report names crashes far enough apart, even if the newest ones are close together. */
@@ -193,7 +198,7 @@
       crash(one, i, 1_000 + i);
     }
     other.merge(one.report(at(1_100)), at(1_101));
-    assertTrue(other.blockedPart(BAD_PROMPT, at(1_102)).isPresent());
+    assertTrue(other.blockedSuspect(BAD_PROMPT, at(1_102)).isPresent());
   }
 
   /**
@@ -208,9 +213,9 @@
     }
     other.recordSoundAnswer(BAD_PROMPT, at(LAST + 5));
     exchange(List.of(one, other), LAST + 10);
-    assertEquals(other.blockedPart(BAD_PROMPT, at(LAST + 20)), Optional.empty());
+    assertEquals(other.blockedSuspect(BAD_PROMPT, at(LAST + 20)), Optional.empty());
     exchange(List.of(one, other), LAST + 30);
-    assertEquals(one.blockedPart(BAD_PROMPT, at(LAST + 40)), Optional.empty());
+    assertEquals(one.blockedSuspect(BAD_PROMPT, at(LAST + 40)), Optional.empty());
   }
 
   /** A late report of a crash that a sound answer has cleared does not make it a new crash. */
@@ -223,10 +228,10 @@
     }
     CrashReport late = one.report(at(LAST + 10));
     other.merge(late, at(LAST + 11));
-    assertTrue(other.blockedPart(BAD_PROMPT, at(LAST + 12)).isPresent());
+    assertTrue(other.blockedSuspect(BAD_PROMPT, at(LAST + 12)).isPresent());
     other.recordSoundAnswer(BAD_PROMPT, at(LAST + 500));
     other.merge(late, at(LAST + 2_000));
-    assertEquals(other.blockedPart(BAD_PROMPT, at(LAST + 2_001)), Optional.empty());
+    assertEquals(other.blockedSuspect(BAD_PROMPT, at(LAST + 2_001)), Optional.empty());
   }
 
   /** Crashes and sound answers do not move in time however often nodes tell them each other. */
@@ -253,7 +258,7 @@
     crash(suspects, 1, end + 200);
     crash(suspects, 2, end + 300);
     assertTrue(suspects.report(at(3 * end)).crashes().containsKey("m/bad"));
-    assertTrue(suspects.blockedPart(BAD_PROMPT, at(3 * end)).isPresent());
+    assertTrue(suspects.blockedSuspect(BAD_PROMPT, at(3 * end)).isPresent());
   }
 
   /** Sound answers are reported only while a peer still holds a crash against their parts. */
@@ -286,10 +291,98 @@
     CrashReport report = suspects.report(at(5_000));
     assertEquals(report.crashes().size(), CrashSuspects.MAX_REPORTED_PARTS);
     assertTrue(report.crashes().containsKey("m/bad"));
-    assertTrue(suspects.blockedPart(List.of("m/bad"), at(5_000)).isPresent());
+    assertTrue(suspects.blockedSuspect(List.of("m/bad"), at(5_000)).isPresent());
     assertFalse(suspects.isEmpty());
     Instant forgotten = at(6_000).plus(CrashSuspects.CRASH_MEMORY).plus(Duration.ofSeconds(1));
     assertEquals(suspects.report(forgotten), CrashReport.EMPTY);
     assertTrue(suspects.isEmpty());
   }
+
+  private static void requestCrash(CrashSuspects suspects, int number, long sent, long crashed) {
+    suspects.recordRequestCrash("crash-" + number, REQUEST, at(sent), at(crashed));
+  }
+
+  /** A request that is sent on from one crashed runner to the next is blocked without delay. */
+  @Test
+  public void blocksRequestThatFollowsItsCrashes() {
+    var suspects = new CrashSuspects();
+    requestCrash(suspects, 0, 0, 60);
+    requestCrash(suspects, 1, 60, 120);
+    assertTrue(suspects.blockedSuspect(List.of(REQUEST), at(130)).isEmpty());
+    requestCrash(suspects, 2, 150, 210);
+    assertEquals(suspects.blockedSuspect(List.of(REQUEST), at(220)), Optional.of(REQUEST));
+  }
+
+  /** Copies of a request at runners that end together say nothing of it. */
+  @Test
+  public void requestsAtRunnersThatEndTogetherAreNotBlocked() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < 10; i++) {
+      requestCrash(suspects, i, i, 100 + i);
+    }
+    assertTrue(suspects.blockedSuspect(List.of(REQUEST), at(200)).isEmpty());
+  }
+
+  /** Peers learn from a report alone that a request followed its crashes. */
+  @Test
+  public void reportTellsOfSuccessiveCrashes() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      requestCrash(suspects, i, i * 100, i * 100 + 60);
+    }
+    var peer = new CrashSuspects();
+    peer.merge(suspects.report(at(300)), at(303));
+    assertEquals(peer.blockedSuspect(List.of(REQUEST), at(310)), Optional.of(REQUEST));
+  }
+
+  /** A request that explains all crashes of a part must not keep sound prompts with it away. */
+  @Test
+  public void crashesOfOneRequestBlockNoPromptWithItsParts() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(suspects, i, i * STEP);
+      requestCrash(suspects, i, i * STEP - 60, i * STEP);
+    }
+    List<String> bad = List.of(REQUEST, "m/common", "m/bad");
+    assertEquals(suspects.blockedSuspect(bad, at(LAST + 50)), Optional.of(REQUEST));
+    List<String> other = List.of(CrashSuspects.requestKey("other"), "m/common", "m/bad");
+    assertEquals(suspects.blockedSuspect(other, at(LAST + 50)), Optional.empty());
+  }
+
+  /** What was blocked is served again once its crashes are ten minutes old. */
+  @Test
+  public void blockedSuspectsAreServedAgain() {
+    var suspects = new CrashSuspects();
+    for (int i = 0; i < CrashSuspects.BLOCKING_CRASHES; i++) {
+      crash(suspects, i, i * STEP);
+    }
+    long memory = Duration.ofMinutes(10).toMillis();
+    assertTrue(suspects.blockedSuspect(BAD_PROMPT, at(memory - 1)).isPresent());
+    assertEquals(suspects.blockedSuspect(BAD_PROMPT, at(memory + 1)), Optional.empty());
+  }
+
+  /** Requests are alike only if caller, method, host, target and body are equal. */
+  @Test
+  public void fingerprintTellsRequestsApart() {
+    Set<String> fingerprints = new HashSet<>();
+    String[][] requests = {
+      {"a", "GET", "h", "/x", ""},
+      {"b", "GET", "h", "/x", ""},
+      {"a", "POST", "h", "/x", ""},
+      {"a", "GET", "h2", "/x", ""},
+      {"a", "GET", "h", "/x?", ""},
+      {"a", "GET", "h", "/", "x"},
+      {"aG", "ET", "h", "/x", ""},
+    };
+    for (String[] each : requests) {
+      fingerprints.add(fingerprint(each));
+      assertEquals(fingerprint(each), fingerprint(each));
+    }
+    assertEquals(fingerprints.size(), requests.length);
+  }
+
+  private static String fingerprint(String[] request) {
+    return RequestFingerprint.of(
+        request[0], request[1], request[2], request[3], ByteBuffer.wrap(request[4].getBytes()));
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -30,7 +30,7 @@
 final class PeerDatagramCodec {
 
   /** Version of the encoding. Datagrams of other versions are rejected. */
-  private static final int SCHEMA_VERSION = 6;
+  private static final int SCHEMA_VERSION = 7;
 
   private static final int KIND_REPORT = 0;
   private static final int KIND_CHANGES = 1;
@@ -190,20 +190,32 @@
   }
 
   private static void packCrashReport(CrashReport report, MessagePacker packer) throws IOException {
-    packer.packMapHeader(report.crashes().size());
-    for (Map.Entry<String, Map<String, Duration>> part : report.crashes().entrySet()) {
-      packer.packString(part.getKey());
-      packAges(part.getValue(), packer);
-    }
+    packAgesBySuspect(report.crashes(), packer);
+    packAgesBySuspect(report.sentRequests(), packer);
     packAges(report.soundAnswers(), packer);
   }
 
+  private static void packAgesBySuspect(
+      Map<String, Map<String, Duration>> ages, MessagePacker packer) throws IOException {
+    packer.packMapHeader(ages.size());
+    for (Map.Entry<String, Map<String, Duration>> suspect : ages.entrySet()) {
+      packer.packString(suspect.getKey());
+      packAges(suspect.getValue(), packer);
+    }
+  }
+
   private static CrashReport unpackCrashReport(MessageUnpacker unpacker) throws IOException {
-    Map<String, Map<String, Duration>> crashes = new HashMap<>();
+    return new CrashReport(
+        unpackAgesBySuspect(unpacker), unpackAgesBySuspect(unpacker), unpackAges(unpacker));
+  }
+
+  private static Map<String, Map<String, Duration>> unpackAgesBySuspect(MessageUnpacker unpacker)
+      throws IOException {
+    Map<String, Map<String, Duration>> ages = new HashMap<>();
     for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
-      crashes.put(unpacker.unpackString(), unpackAges(unpacker));
+      ages.put(unpacker.unpackString(), unpackAges(unpacker));
     }
-    return new CrashReport(crashes, unpackAges(unpacker));
+    return ages;
   }
 
   private static void packAges(Map<String, Duration> ages, MessagePacker packer)
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -177,7 +177,7 @@
     }
   }
 
-  /** Returns the prompt parts under which runners crashed. */
+  /** Returns the prompt parts and requests under which runners crashed. */
   CrashSuspects crashSuspects() {
     return crashSuspects;
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.Admission;
+import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.EventStream;
 import org.dragonflyhill.core.relay.Organisation;
@@ -228,9 +229,9 @@
       return;
     }
     Instant now = state.now();
-    Optional<String> crashingPart = crashingPart(now);
-    if (crashingPart.isPresent()) {
-      failCrashingPrompt(crashingPart.get());
+    Optional<String> crashCause = crashCause(now);
+    if (crashCause.isPresent()) {
+      failCrashingRequest(crashCause.get());
       return;
     }
     List<Runner> candidates = untriedRunners();
@@ -273,25 +274,39 @@
             error -> onConnectFailed(chosen, error));
   }
 
-  /** Returns a part of the prompt under which runners crash, if one is known. */
-  private Optional<String> crashingPart(Instant now) {
-    return state.crashSuspects().isEmpty()
-        ? Optional.empty()
-        : requestHeaders
-            .prompt()
-            .flatMap(prompt -> state.crashSuspects().blockedPart(prompt.sharedPartKeys(), now));
+  /** Returns the key of this request or of a part of its prompt if runners crash under it. */
+  private Optional<String> crashCause(Instant now) {
+    if (state.crashSuspects().isEmpty()) {
+      return Optional.empty();
+    }
+    List<String> keys = new ArrayList<>(List.of(requestKey()));
+    keys.addAll(sharedPartKeys());
+    return state.crashSuspects().blockedSuspect(keys, now);
+  }
+
+  /** Returns whether a runner has crashed under a request like this. */
+  private boolean isSuspect() {
+    return !state.crashSuspects().isEmpty() && state.crashSuspects().isSuspect(requestKey());
+  }
+
+  private String requestKey() {
+    return CrashSuspects.requestKey(fingerprint());
   }
 
   /** Fails the request with a status that does not tell the caller to try again. */
-  private void failCrashingPrompt(String part) {
+  private void failCrashingRequest(String cause) {
+    boolean isRequest = CrashSuspects.isRequest(cause);
+    String reason = isRequest ? "request_crashes_runners" : "prompt_crashes_runners";
     if (isResponseStarted) {
-      abortResponse("prompt_crashes_runners");
+      abortResponse(reason);
       return;
     }
     refuse(
         HttpResponseStatus.INTERNAL_SERVER_ERROR,
-        "prompt_crashes_runners",
-        "runners crash under part " + part + " of the prompt",
+        reason,
+        isRequest
+            ? "runners crash under requests like this, " + cause
+            : "runners crash under part " + cause + " of the prompt",
         Optional.empty());
   }
 
@@ -535,8 +550,9 @@
     if (!now.isBefore(deadline)) {
       return Optional.of("deadline exceeded");
     }
-    if (crashingPart(now).isPresent()) {
-      return Optional.of("prompt crashes runners");
+    Optional<String> crashCause = crashCause(now);
+    if (crashCause.isPresent()) {
+      return Optional.of("runners crash under " + crashCause.get());
     }
     return untriedRunners().isEmpty() ? Optional.of("no untried runner") : Optional.empty();
   }
@@ -647,9 +663,9 @@
       return;
     }
     currentAttempt.ifPresent(Attempt::checkSoundness);
-    Optional<String> crashingPart = isResponseStarted ? Optional.empty() : crashingPart(now);
-    if (crashingPart.isPresent()) {
-      failCrashingPrompt(crashingPart.get());
+    Optional<String> crashCause = isResponseStarted ? Optional.empty() : crashCause(now);
+    if (crashCause.isPresent()) {
+      failCrashingRequest(crashCause.get());
       return;
     }
     if (silentAttempt.filter(silent -> silent.hasOutlivedWeights(now)).isPresent()
@@ -863,11 +879,11 @@
 
     private void recordSoundAnswer() {
       isSoundRecorded = true;
-      requestHeaders
-          .prompt()
-          .ifPresent(
-              prompt ->
-                  state.crashSuspects().recordSoundAnswer(prompt.sharedPartKeys(), answeredAt));
+      List<String> keys = new ArrayList<>(sharedPartKeys());
+      if (isSuspect()) {
+        keys.add(requestKey());
+      }
+      state.crashSuspects().recordSoundAnswer(keys, answeredAt);
     }
 
     /** Returns whether the runner had time to answer before a silent attempt is cancelled. */
@@ -1147,7 +1163,8 @@
         server
             .crashDetector()
             .onAnswerBrokenOff(
-                runner, new RunnerCrashDetector.Suspect(id(), fingerprint(), sharedPartKeys()));
+                runner,
+                new RunnerCrashDetector.Suspect(id(), fingerprint(), sharedPartKeys(), sentAt));
       }
       if (silentAttempt.filter(this::equals).isPresent()) {
         cancelSilentAttempt();
@@ -1159,6 +1176,11 @@
       }
       eventStream.dropPartial();
       boolean isRetryAllowed = isResponseStarted ? isResumable() : route.isRepeatable();
+      if (isRetryAllowed && isSuspect()) {
+        // The crash that may have broken off this answer is not known yet; an earlier one is.
+        logRetryDenied("broken", "a runner has crashed under " + requestKey());
+        isRetryAllowed = false;
+      }
       if (!isRetryAllowed || !retryOnAnotherRunner("broken")) {
         fail("answer_failed", "the runner's answer broke off", RUNNER_FAILURE_RETRY_AFTER);
       }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Runner;
 
 /**
@@ -24,8 +26,7 @@
   private final RelayState state;
   private final RunnerConnectionPool connections;
 
-  /** Requests whose answers broke off, by the runner that is being checked. */
-  private final Map<String, List<Suspect>> suspectsByRunner = new HashMap<>();
+  private final Map<String, Check> checksByRunner = new HashMap<>();
 
   RunnerCrashDetector(EventLoop loop, RelayState state, RunnerConnectionPool connections) {
     this.loop = loop;
@@ -40,12 +41,12 @@
    * @param suspect the request that was to be answered
    */
   void onAnswerBrokenOff(Runner runner, Suspect suspect) {
-    List<Suspect> known = suspectsByRunner.get(runner.id());
-    if (known != null) {
-      known.add(suspect);
+    Check check = checksByRunner.get(runner.id());
+    if (check != null) {
+      check.suspects().add(suspect);
       return;
     }
-    suspectsByRunner.put(runner.id(), new ArrayList<>(List.of(suspect)));
+    checksByRunner.put(runner.id(), new Check(state.now(), new ArrayList<>(List.of(suspect))));
     connections.open(
         runner.info().endpoint(),
         connection ->
@@ -72,16 +73,23 @@
   }
 
   private void onAlive(Runner runner, RunnerConnection connection) {
-    suspectsByRunner.remove(runner.id());
+    checksByRunner.remove(runner.id());
     connections.release(connection);
   }
 
   private void onCrashed(Runner runner) {
-    List<Suspect> suspects = suspectsByRunner.remove(runner.id());
+    Check check = checksByRunner.remove(runner.id());
+    List<Suspect> suspects = check.suspects();
     Set<String> parts = new TreeSet<>();
     suspects.forEach(suspect -> parts.addAll(suspect.parts()));
     String crash = runner.id() + '@' + runner.info().startedAtMillis();
-    state.crashSuspects().recordCrash(crash, parts, state.now());
+    state.crashSuspects().recordCrash(crash, parts, check.brokenOffAt());
+    for (Suspect suspect : suspects) {
+      String request = CrashSuspects.requestKey(suspect.fingerprint());
+      state
+          .crashSuspects()
+          .recordRequestCrash(crash, request, suspect.sentAt(), check.brokenOffAt());
+    }
     state.metrics().count("relay.runner_crashed");
     state
         .log()
@@ -94,14 +102,23 @@
                     .with("suspect_requests", suspects.stream().map(Suspect::label).toList()));
   }
 
+  /**
+   * A check of a runner that is in progress.
+   *
+   * @param brokenOffAt when its first answer broke off
+   * @param suspects requests whose answers broke off
+   */
+  private record Check(Instant brokenOffAt, List<Suspect> suspects) {}
+
   /**
    * A request whose answer broke off.
    *
    * @param id id of the request
    * @param fingerprint what it has in common with requests that are alike
    * @param parts keys of the shared parts of its prompt
+   * @param sentAt when it was sent to the runner
    */
-  record Suspect(String id, String fingerprint, List<String> parts) {
+  record Suspect(String id, String fingerprint, List<String> parts, Instant sentAt) {
 
     private String label() {
       return id + '=' + fingerprint;
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -59,6 +59,7 @@
           OptionalLong.of(123_456),
           new CrashReport(
               Map.of("m/bad0", Map.of("i-1@17", Duration.ofMillis(40))),
+              Map.of("request:c0ffee", Map.of("i-1@17", Duration.ofMillis(90))),
               Map.of("m/c0", Duration.ofMillis(7))),
           Map.of("s", 17.5),
           Map.of(
