--- a/core/src/main/java/org/dragonflyhill/core/relay/RequestFingerprint.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RequestFingerprint.java
@@ -7,7 +7,8 @@
 import java.util.HexFormat;
 
 /**
- * Identifies requests that are alike: those of one caller with the same method, target and body.
+ * Identifies requests that are alike: those of one caller with the same method, path and body. The
+ * query is left out, since a request that comes again may change it.
  *
  * <p>Stateless and thread-safe; no argument may be null.
  */
@@ -24,13 +25,13 @@
    * @param caller who sends it
    * @param method HTTP method
    * @param host host that it names
-   * @param target path and query
+   * @param target path, and the query if any
    * @param body its body, of which the remaining bytes are read
    */
   public static String of(
       String caller, String method, String host, String target, ByteBuffer body) {
     MessageDigest digest = sha256();
-    for (String text : new String[] {caller, method, host, target}) {
+    for (String text : new String[] {caller, method, host, target.split("\\?", 2)[0]}) {
       byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
       digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
       digest.update(bytes);
