Receive the whole of long reports of peers

In a trial with runners that crash, 780 reports of peers could not be read in 15 s, the first right after the first crash (peer_unreadable, MessageInsufficientBufferException).

Cause: Netty receives datagrams into a buffer of 2,048 bytes by default and truncates longer ones. Reports grow with the suspects of crashes. Once one is longer, nodes hear nothing of each other any more: no crashes, but also no load, no weights, no rate limits, and after 10 s each takes itself for the only node. The class of fault is an unchecked length: part changes were kept short, reports were not, and no test sent a report through a socket.

Change: the buffer holds the longest datagram of UDP.

Tests, run: PeerGossipTest.longestReportArrives failed before.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -40,6 +42,9 @@
   /** Number of part changes in a datagram, by which it fits into one frame of the network. */
   static final int MAX_CHANGES_PER_DATAGRAM = 50;
 
+  /** Longest datagram that can be received, the limit of UDP over IPv4. */
+  private static final int MAX_DATAGRAM_BYTES = 65_507;
+
   /** Number of missed changes above which a snapshot is sent instead. */
   private static final int MAX_RESENT_CHANGES = 1_000;
 
@@ -87,6 +92,9 @@
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
+            // Netty truncates longer datagrams than its buffer, which is 2,048 bytes by default.
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(new DatagramReceiver())
             .bind(ownAddress.host(), ownAddress.port())
             .syncUninterruptibly()
--- /dev/null
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
@@ -0,0 +1,110 @@
+package org.dragonflyhill.daemon.relay;
+
+import static org.awaitility.Awaitility.await;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.dragonflyhill.core.relay.CrashSuspects;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.HolderAssignment;
+import org.dragonflyhill.core.relay.SharedRetryBudget;
+import org.dragonflyhill.core.relay.WeightsDeadline;
+import org.dragonflyhill.daemon.MonotonicClock;
+import org.dragonflyhill.daemon.NodeMetrics;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests what reaches the peers of a node. */
+public final class PeerGossipTest {
+
+  private static final int SUSPECTS = 32;
+  private static final int CRASHES = 16;
+
+  private MultiThreadIoEventLoopGroup group;
+  private EventLoop loop;
+  private Node first;
+  private Node second;
+
+  private record Node(RelayState state, PeerGossip gossip, Endpoint address) {}
+
+  /** Starts two nodes that know each other. */
+  @BeforeMethod
+  public void start() throws Exception {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = group.next();
+    first = node("n1");
+    second = node("n2");
+    onLoop(
+        () -> {
+          first.gossip.addPeer("n2", second.address);
+          second.gossip.addPeer("n1", first.address);
+        });
+  }
+
+  private Node node(String name) throws IOException {
+    var clock = new MonotonicClock();
+    var state =
+        new RelayState(
+            name,
+            "z1",
+            new SharedRetryBudget.Limits(Duration.ofSeconds(10), 0.2, 52, 0.6),
+            new WeightsDeadline(Duration.ofSeconds(6)),
+            clock,
+            new DecisionLog(clock),
+            new NodeMetrics());
+    var address = new Endpoint("127.0.0.1", freePort());
+    var assignment = new HolderAssignment(name, "z1", state.now());
+    return new Node(
+        state, new PeerGossip(loop, address, name, "z1", 1, assignment, state), address);
+  }
+
+  private static int freePort() throws IOException {
+    try (var socket =
+        new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private void onLoop(Runnable task) throws InterruptedException, ExecutionException {
+    loop.submit(task).get();
+  }
+
+  /** Stops the nodes. */
+  @AfterMethod
+  public void stop() throws InterruptedException {
+    first.gossip.close();
+    second.gossip.close();
+    group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync();
+  }
+
+  /** A report with much to tell must arrive whole, since everything else in it is lost too. */
+  @Test
+  public void longestReportArrives() throws Exception {
+    onLoop(
+        () -> {
+          CrashSuspects suspects = first.state.crashSuspects();
+          Instant now = first.state.now();
+          for (int i = 0; i < SUSPECTS * CRASHES; i++) {
+            String crash = "i-%010x@1790000000000".formatted(i / SUSPECTS);
+            String name = "%032x".formatted(i % SUSPECTS);
+            suspects.recordCrash(crash, List.of("model/" + name), now);
+            suspects.recordRequestCrash(crash, CrashSuspects.requestKey(name), now, now);
+          }
+        });
+    String last = CrashSuspects.requestKey("%032x".formatted(SUSPECTS - 1));
+    await()
+        .atMost(Duration.ofSeconds(5))
+        .until(() -> loop.submit(() -> second.state.crashSuspects().isSuspect(last)).get());
+  }
+}
