Report at most four crashes of a suspect

A report with 32 suspect parts and as many requests, sixteen crashes each, has up to 55 kB by calculation, which is 40 frames of the network, and one lost frame loses it all. The oldest crash and the three newest ones are enough to block; what peers were told before they keep.

Tests, run: the 38 cases of CrashPatternTest, CrashingRequestPatternTest and CrashSuspectsTest that exchange reports, and PeerGossipTest, pass unchanged.

--- a/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
@@ -52,6 +52,9 @@
   /** Maximum number of suspect parts, of suspect requests, and of cleared suspects in a report. */
   static final int MAX_REPORTED_PARTS = 32;
 
+  /** Maximum number of crashes of a suspect in a report: the oldest and the newest ones. */
+  private static final int MAX_REPORTED_CRASHES = 4;
+
   /**
    * Time for which a suspect with a single crash is reported. Most of them were only by chance at a
    * runner that crashed.
@@ -292,12 +295,7 @@
     private int successiveCrashes() {
       int count = 0;
       Instant last = Instant.MIN;
-      List<Map.Entry<String, Instant>> sorted =
-          crashes.entrySet().stream()
-              .filter(crash -> isOpen(crash.getValue()))
-              .sorted(Map.Entry.comparingByValue())
-              .toList();
-      for (Map.Entry<String, Instant> crash : sorted) {
+      for (Map.Entry<String, Instant> crash : openCrashesByTime()) {
         Instant sentAt = sentRequests.getOrDefault(crash.getKey(), Instant.MIN);
         if (count == 0 || !sentAt.isBefore(last)) {
           count++;
@@ -307,6 +305,13 @@
       return count;
     }
 
+    private List<Map.Entry<String, Instant>> openCrashesByTime() {
+      return crashes.entrySet().stream()
+          .filter(crash -> isOpen(crash.getValue()))
+          .sorted(Map.Entry.comparingByValue())
+          .toList();
+    }
+
     void addSentRequest(String crash, Instant at) {
       if (crashes.containsKey(crash)) {
         sentRequests.merge(crash, at, CrashSuspects::later);
@@ -315,10 +320,12 @@
     }
 
     Map<String, Duration> sentRequestAges(Instant now) {
-      return sentRequests.entrySet().stream()
-          .filter(sent -> crashes.containsKey(sent.getKey()) && isOpen(crashes.get(sent.getKey())))
+      return reportedCrashes().stream()
+          .filter(crash -> sentRequests.containsKey(crash.getKey()))
           .collect(
-              Collectors.toMap(Map.Entry::getKey, sent -> Duration.between(sent.getValue(), now)));
+              Collectors.toMap(
+                  Map.Entry::getKey,
+                  crash -> Duration.between(sentRequests.get(crash.getKey()), now)));
     }
 
     boolean hasCrashesOf(Suspect other) {
@@ -393,10 +400,17 @@
       crashes.values().removeIf(at -> Duration.between(at, now).compareTo(CRASH_MEMORY) > 0);
     }
 
-    /** Returns the ages of the crashes that no sound answer has cleared. */
+    private List<Map.Entry<String, Instant>> reportedCrashes() {
+      List<Map.Entry<String, Instant>> sorted = openCrashesByTime();
+      int skipped = Math.max(0, sorted.size() - MAX_REPORTED_CRASHES);
+      return skipped == 0
+          ? sorted
+          : Stream.concat(sorted.stream().limit(1), sorted.stream().skip(skipped + 1)).toList();
+    }
+
+    /** Returns the ages of the crashes in a report, none of which a sound answer has cleared. */
     Map<String, Duration> crashAges(Instant now) {
-      return crashes.entrySet().stream()
-          .filter(crash -> isOpen(crash.getValue()))
+      return reportedCrashes().stream()
           .collect(
               Collectors.toMap(
                   Map.Entry::getKey, crash -> Duration.between(crash.getValue(), now)));
