--- a/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CrashSuspects.java
@@ -42,15 +42,15 @@
   public static final Duration CRASH_MEMORY = Duration.ofMinutes(10);
 
   /** Maximum number of suspects that are remembered. */
-  static final int MAX_PARTS = 512;
+  static final int MAX_SUSPECTS = 512;
 
   /**
    * Maximum number of crashes that are remembered for a suspect: the oldest and the newest ones.
    */
-  static final int MAX_CRASHES_PER_PART = 16;
+  static final int MAX_CRASHES_PER_SUSPECT = 16;
 
   /** Maximum number of suspect parts, of suspect requests, and of cleared suspects in a report. */
-  static final int MAX_REPORTED_PARTS = 32;
+  static final int MAX_REPORTED_SUSPECTS = 32;
 
   /** Maximum number of crashes of a suspect in a report: the oldest and the newest ones. */
   private static final int MAX_REPORTED_CRASHES = 4;
@@ -128,19 +128,19 @@
   /**
    * Records an answer that its runner completed or went on with for a while.
    *
-   * @param parts shared parts of its prompt, and the key of the request if it is suspect
+   * @param keys shared parts of its prompt, and the key of the request if it is suspect
    * @param begunAt when the answer began
    */
-  public void recordSoundAnswer(Collection<String> parts, Instant begunAt) {
-    for (String part : parts) {
-      Instant known = soundAnswers.remove(part);
-      soundAnswers.put(part, known == null ? begunAt : later(known, begunAt));
-      Suspect suspect = suspects.get(part);
+  public void recordSoundAnswer(Collection<String> keys, Instant begunAt) {
+    for (String key : keys) {
+      Instant known = soundAnswers.remove(key);
+      soundAnswers.put(key, known == null ? begunAt : later(known, begunAt));
+      Suspect suspect = suspects.get(key);
       if (suspect != null) {
         suspect.recordSoundAnswer(begunAt);
       }
     }
-    while (soundAnswers.size() > MAX_PARTS) {
+    while (soundAnswers.size() > MAX_SUSPECTS) {
       soundAnswers.remove(soundAnswers.keySet().iterator().next());
     }
   }
@@ -171,7 +171,6 @@
     removeForgotten(now);
     Map<String, Map<String, Duration>> crashes = new HashMap<>();
     Map<String, Map<String, Duration>> sentRequests = new HashMap<>();
-    int parts = 0;
     Map<String, Duration> answerAges = new HashMap<>();
     List<Map.Entry<String, Suspect>> sorted =
         suspects.entrySet().stream()
@@ -180,16 +179,14 @@
     for (Map.Entry<String, Suspect> entry : sorted) {
       Suspect suspect = entry.getValue();
       boolean isRequest = isRequest(entry.getKey());
-      int reported = isRequest ? sentRequests.size() : parts;
-      if (suspect.isReportable(now) && reported < MAX_REPORTED_PARTS) {
+      int reported = isRequest ? sentRequests.size() : crashes.size() - sentRequests.size();
+      if (suspect.isReportable(now) && reported < MAX_REPORTED_SUSPECTS) {
         crashes.put(entry.getKey(), suspect.crashAges(now));
         if (isRequest) {
           sentRequests.put(entry.getKey(), suspect.sentRequestAges(now));
-        } else {
-          parts++;
         }
       }
-      if (suspect.isSoundAnswerMissedByPeer(now) && answerAges.size() < MAX_REPORTED_PARTS) {
+      if (suspect.isSoundAnswerMissedByPeer(now) && answerAges.size() < MAX_REPORTED_SUSPECTS) {
         answerAges.put(entry.getKey(), Duration.between(suspect.ownSoundAnswer, now));
       }
     }
@@ -224,9 +221,9 @@
     removeExcess();
   }
 
-  private Suspect suspect(String part) {
+  private Suspect suspect(String key) {
     return suspects.computeIfAbsent(
-        part, any -> new Suspect(soundAnswers.getOrDefault(part, Instant.MIN)));
+        key, any -> new Suspect(soundAnswers.getOrDefault(key, Instant.MIN)));
   }
 
   private void removeForgotten(Instant now) {
@@ -240,10 +237,10 @@
   }
 
   private void removeExcess() {
-    if (suspects.size() > MAX_PARTS) {
+    if (suspects.size() > MAX_SUSPECTS) {
       suspects.entrySet().stream()
           .sorted(Map.Entry.comparingByValue(MOST_SUSPECT_FIRST))
-          .skip(MAX_PARTS)
+          .skip(MAX_SUSPECTS)
           .map(Map.Entry::getKey)
           .toList()
           .forEach(suspects::remove);
@@ -381,7 +378,7 @@
     /** Adds a crash. Reports of it arrive late, so the earliest time is the most accurate. */
     void addCrash(String crash, Instant at) {
       crashes.merge(crash, at, (known, other) -> known.isBefore(other) ? known : other);
-      if (crashes.size() > MAX_CRASHES_PER_PART) {
+      if (crashes.size() > MAX_CRASHES_PER_SUSPECT) {
         // The oldest one is needed for the time between the first and the last.
         crashes.entrySet().stream()
             .sorted(Map.Entry.comparingByValue())
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerRateLimit.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerRateLimit.java
@@ -17,7 +17,7 @@
 public final class RunnerRateLimit {
 
   /** Maximum age of a reading that is reported to peers; a newer one follows with each answer. */
-  static final Duration REPORTED_AGE = Duration.ofSeconds(10);
+  private static final Duration REPORTED_AGE = Duration.ofSeconds(10);
 
   private static final double CAPACITY = 1;
 
@@ -79,18 +79,15 @@
   }
 
   /**
-   * Returns the age of what this node itself has heard last, empty if that is nothing or long ago.
-   * Readings of peers are left out, so that they do not go round for ever.
+   * Returns what this node itself has heard last, for its peers, empty if that is nothing or long
+   * ago. Readings of peers are left out, so that they do not go round for ever.
    */
-  Optional<Duration> ownReadingAge(Instant now) {
-    return own.map(reading -> Duration.between(reading.at(), now))
-        .filter(age -> age.compareTo(REPORTED_AGE) <= 0);
-  }
-
-  /** Returns what this node itself has heard, for its peers, empty if that is nothing or old. */
   public Optional<RateLimitReport> report(long startedAtMillis, Instant now) {
-    return ownReadingAge(now)
-        .map(age -> new RateLimitReport(startedAtMillis, own.get().perSecond(), age));
+    return own.map(
+            reading ->
+                new RateLimitReport(
+                    startedAtMillis, reading.perSecond(), Duration.between(reading.at(), now)))
+        .filter(report -> report.age().compareTo(REPORTED_AGE) <= 0);
   }
 
   /** Sets the share of the limit that this node may use, in requests per second. */
--- a/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/CrashSuspectsTest.java
@@ -289,7 +289,7 @@
       suspects.recordCrash("crash-" + i, parts, at(i));
     }
     CrashReport report = suspects.report(at(5_000));
-    assertEquals(report.crashes().size(), CrashSuspects.MAX_REPORTED_PARTS);
+    assertEquals(report.crashes().size(), CrashSuspects.MAX_REPORTED_SUSPECTS);
     assertTrue(report.crashes().containsKey("m/bad"));
     assertTrue(suspects.blockedSuspect(List.of("m/bad"), at(5_000)).isPresent());
     assertFalse(suspects.isEmpty());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -76,7 +76,17 @@
   private boolean needsOwnReads;
   private long runnerClockOffsetMillis = Long.MIN_VALUE;
 
-  /** Creates a state without configuration and runners. */
+  /**
+   * Creates a state without configuration and runners.
+   *
+   * @param node name of this node, by which its peers know it
+   * @param zone availability zone of this node
+   * @param retryLimits limits of the retry budget that all nodes share
+   * @param weightsDeadline when requests must no longer begin on replaced weights
+   * @param clock monotonic clock of the node
+   * @param log log for decisions and state changes
+   * @param metrics metrics of the node
+   */
   public RelayState(
       String node,
       String zone,
