--- a/core/src/main/java/org/dragonflyhill/core/relay/RequestFingerprint.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RequestFingerprint.java
@@ -7,8 +7,8 @@
 import java.util.HexFormat;
 
 /**
- * Identifies requests that are alike: those of one caller with the same method, path and body. The
- * query is left out, since a request that comes again may change it.
+ * Identifies requests that are alike: those of one caller with the same method, host, path and
+ * body. The query is left out, since a request that comes again may change it.
  *
  * <p>Stateless and thread-safe; no argument may be null.
  */
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerRateLimit.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerRateLimit.java
@@ -145,7 +145,7 @@
    * A limit and when it was heard of.
    *
    * @param perSecond requests per second, empty for no limit
-   * @param at time at which the runner certainly had this limit
+   * @param at when the answer that named the limit arrived; for no limit, when the request was sent
    */
   private record Reading(OptionalDouble perSecond, Instant at) {
     static final Reading NONE = new Reading(OptionalDouble.empty(), Instant.MIN);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -23,7 +23,10 @@
 
   private static final Duration REQUEST_CHECK_INTERVAL = Duration.ofMillis(50);
   private static final Duration QUEUE_RETRY_INTERVAL = Duration.ofMillis(25);
+
+  /** How often this node's shares of the runners' rate limits are calculated anew. */
   private static final Duration RATE_LIMIT_INTERVAL = Duration.ofMillis(150);
+
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
 
   /** Maximum number of connections that wait to be accepted. */
