--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerInfo.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerInfo.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.core.relay;
 
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Entry of a runner in the host list. Immutable; no component is null.
@@ -12,6 +13,7 @@
  * @param slots maximum number of concurrently running requests
  * @param isDraining whether the runner is shutting down and accepts no new requests
  * @param weightVersions weight version of each model
+ * @param softwareVersion version of the runner's software, an opaque name; empty if unknown
  * @param startedAtMillis Unix time of the process start in milliseconds, 0 if unknown
  */
 public record RunnerInfo(
@@ -22,6 +24,7 @@
     int slots,
     boolean isDraining,
     Map<String, Long> weightVersions,
+    Optional<String> softwareVersion,
     long startedAtMillis) {
 
   /** Creates an entry with a copy of the weight versions. */
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -41,6 +42,7 @@
         64,
         isDraining,
         Map.of("m", 1L),
+        Optional.empty(),
         startedAtMillis);
   }
 
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
@@ -48,7 +48,15 @@
   private static Runner runner(String id, int host) {
     return new Runner(
         new RunnerInfo(
-            id, "s", new Endpoint("10.0.0." + host, 80), "z1", 64, false, Map.of("m", 1L), 1),
+            id,
+            "s",
+            new Endpoint("10.0.0." + host, 80),
+            "z1",
+            64,
+            false,
+            Map.of("m", 1L),
+            Optional.empty(),
+            1),
         NOW);
   }
 
--- a/core/src/test/java/org/dragonflyhill/core/relay/WeightsDeadlineTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/WeightsDeadlineTest.java
@@ -24,7 +24,9 @@
   private static Runner runner(String id, long version) {
     Endpoint endpoint = new Endpoint("10.0.0." + version, 80);
     return new Runner(
-        new RunnerInfo(id, "s", endpoint, "z1", 64, false, Map.of("m", version), 1), NOW);
+        new RunnerInfo(
+            id, "s", endpoint, "z1", 64, false, Map.of("m", version), Optional.empty(), 1),
+        NOW);
   }
 
   private Optional<String> select(List<Runner> runners, Instant now) {
--- a/core/src/test/java/org/dragonflyhill/core/relay/WeightsInUseTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/WeightsInUseTest.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -32,7 +33,9 @@
 
   private static Runner runner(String id) {
     Endpoint endpoint = new Endpoint("10.0.0.1", 80);
-    return new Runner(new RunnerInfo(id, "s", endpoint, "z", 8, false, Map.of("m", 1L), 1), START);
+    return new Runner(
+        new RunnerInfo(id, "s", endpoint, "z", 8, false, Map.of("m", 1L), Optional.empty(), 1),
+        START);
   }
 
   private Instant afterFetches(Instant from) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
@@ -50,13 +50,16 @@
    * @param prompt description of the prompt, empty for requests without one
    * @param apiKey the caller's API key
    * @param lastEventId id of the last event that the caller received of a stream to resume
+   * @param resumedAttempt id of the caller's attempt that brought the first event of that stream,
+   *     empty if the caller names none; a left value describes an id that cannot be read
    */
   record RequestHeaders(
       Optional<String> id,
       Optional<Duration> timeLeft,
       Optional<Prompt> prompt,
       Optional<String> apiKey,
-      Optional<String> lastEventId) {}
+      Optional<String> lastEventId,
+      Either<String, Optional<String>> resumedAttempt) {}
 
   /**
    * What a node tells a runner along with a request.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -330,7 +330,8 @@
                   .with("service", info.service())
                   .with("endpoint", info.endpoint())
                   .with("draining", info.isDraining())
-                  .with("weights", info.weightVersions()));
+                  .with("weights", info.weightVersions())
+                  .with("software", info.softwareVersion().orElse("unknown")));
     }
     return !before.equals(Optional.of(info));
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -453,10 +453,29 @@
                 lastEventId));
     attempts++;
     hasUnusedRetry = false;
+    lastEventId.ifPresent(eventId -> logResumption(chosen, eventId));
     chosen.onSent(connection, now);
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
   }
 
+  private void logResumption(Attempt chosen, String lastEventId) {
+    String begunBy =
+        eventStream.lastId().isPresent()
+            ? id()
+            : requestHeaders.resumedAttempt().fold(error -> error, attempt -> attempt.orElse(""));
+    state
+        .log()
+        .info(
+            "stream_resumed",
+            event ->
+                event
+                    .with("request", id())
+                    .with("begun_by", begunBy)
+                    .with("last_event", lastEventId)
+                    .with("runner", chosen.runner.id())
+                    .with("software", chosen.runner.info().softwareVersion().orElse("unknown")));
+  }
+
   /**
    * Returns whether the caller seems to retry: its remaining time is shorter than the timeout of
    * the route, so it has spent time on an earlier attempt.
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -52,6 +53,7 @@
             8,
             false,
             Map.of("m", 1L),
+            Optional.empty(),
             startedAtMillis));
   }
 
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -75,7 +75,8 @@
           for (int i = 0; i < RUNNERS; i++) {
             Endpoint endpoint = new Endpoint("10.0.0." + i, 80);
             state.addOrUpdateRunner(
-                new RunnerInfo("r" + i, "s", endpoint, "z", 8, false, Map.of("m", 1L), 1));
+                new RunnerInfo(
+                    "r" + i, "s", endpoint, "z", 8, false, Map.of("m", 1L), Optional.empty(), 1));
           }
           state.parts().setTokens(STORE, "m@1", "old", 100);
           state.parts().setTokens(STORE, "m@2", "new", 100);
@@ -171,7 +172,8 @@
         () -> {
           Endpoint endpoint = new Endpoint("10.0.0.9", 80);
           state.addOrUpdateRunner(
-              new RunnerInfo("leaving", "s", endpoint, "z", 8, true, Map.of("m", 1L), 1));
+              new RunnerInfo(
+                  "leaving", "s", endpoint, "z", 8, true, Map.of("m", 1L), Optional.empty(), 1));
           return null;
         });
     startController("me");
