Let streams go on only at the software version that began them

Cause: a runner's version was not read at all. A stream was taken for something that any runner of its service can go on with, both by a node that resumes it and when its caller takes it up at any node. Class of fault: state of one party assumed to be valid at another one of the same name.

Now a stream is bound to the version that began it once its first event has been passed on. Where the version stays unknown, or no runner of it is left, the stream is refused at once. The version of a process counts as unknown for 3 s after a connection to it failed, since another process may have its id.

New kinds of datagrams; older nodes log them as unreadable and lose nothing else. The schema stays.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -59,6 +59,7 @@
   private Instant ejectedUntil = Instant.MIN;
   private int ejections;
   private boolean isEjectedForSilence;
+  private Optional<Instant> unreachedAt = Optional.empty();
   private Instant backoffUntil = Instant.MIN;
   private boolean isMarkedDraining;
   private boolean isChangingWeights;
@@ -214,6 +215,24 @@
    * ejection time is not over yet.
    */
   public void eject(Instant now) {
+    recordUnreached(now);
+    extendEjection(now);
+  }
+
+  /** Records that a connection to the runner failed. */
+  public void recordUnreached(Instant now) {
+    unreachedAt = Optional.of(now);
+  }
+
+  /**
+   * Returns when a connection to the runner last failed. Its process may have ended then, and
+   * another one may use its id before the host list says so.
+   */
+  public Optional<Instant> unreachedAt() {
+    return unreachedAt;
+  }
+
+  private void extendEjection(Instant now) {
     if (now.isBefore(ejectedUntil)) {
       return;
     }
@@ -225,7 +244,7 @@
   /** Ejects the runner after it fell silent; any data that it sends ends the ejection. */
   public void ejectForSilence(Instant now) {
     isEjectedForSilence = true;
-    eject(now);
+    extendEjection(now);
   }
 
   /** Returns whether the runner was ejected and has shown no sign since that it is reachable. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
@@ -26,7 +26,11 @@
    */
   public static final Duration RELISTING_GRACE = Duration.ofMillis(1_900);
 
+  /** Time after which the host list shows a process that has replaced another one. */
+  public static final Duration RESTART_LISTING_TIME = Duration.ofSeconds(3);
+
   private final Map<String, Runner> runners = new LinkedHashMap<>();
+  private final SoftwareVersions softwareVersions = new SoftwareVersions();
   private Optional<Instant> hostListRestoredAt = Optional.empty();
 
   /** Records that the host list is reachable again after an outage. */
@@ -47,6 +51,10 @@
     if (known != null && info.startedAtMillis() < known.info().startedAtMillis()) {
       return false;
     }
+    if (known != null) {
+      softwareVersions.recordGone(known.info(), now);
+    }
+    softwareVersions.recordListed(now);
     runners.put(info.id(), new Runner(info, now));
     return true;
   }
@@ -64,10 +72,15 @@
       runner.markMissing(now);
       return false;
     }
-    runners.remove(id);
+    removeNow(runner, now);
     return true;
   }
 
+  private void removeNow(Runner runner, Instant now) {
+    softwareVersions.recordGone(runner.info(), now);
+    runners.remove(runner.id());
+  }
+
   /**
    * Applies a complete host list by removing the runners that it lacks, as {@link #remove} does.
    * Returns the ids of the runners that are removed now.
@@ -84,19 +97,52 @@
     if (Duration.between(limit, now).compareTo(RELISTING_GRACE) < 0) {
       return List.of();
     }
-    List<String> expired =
-        runners.values().stream()
-            .filter(runner -> runner.missingSince().isPresent())
-            .map(Runner::id)
-            .toList();
-    expired.forEach(runners::remove);
-    return expired;
+    List<Runner> expired =
+        runners.values().stream().filter(runner -> runner.missingSince().isPresent()).toList();
+    expired.forEach(runner -> removeNow(runner, now));
+    return expired.stream().map(Runner::id).toList();
   }
 
   private boolean isAfterOutage(Instant now) {
     return hostListRestoredAt.filter(at -> now.isBefore(at.plus(RELISTING_GRACE))).isPresent();
   }
 
+  /**
+   * Returns the version of the software that a runner's process has. It is empty if the host list
+   * names none, or if the process may have been replaced since it was listed.
+   *
+   * @param runner the runner
+   * @param isHostListReachable whether changes of the host list are read at present
+   * @param now present time
+   */
+  public Optional<String> softwareVersion(Runner runner, boolean isHostListReachable, Instant now) {
+    return runners.get(runner.id()) == runner && !mayBeReplaced(runner, isHostListReachable, now)
+        ? runner.info().softwareVersion()
+        : Optional.empty();
+  }
+
+  private boolean mayBeReplaced(Runner runner, boolean isHostListReachable, Instant now) {
+    return runner
+        .unreachedAt()
+        .filter(
+            at ->
+                !isHostListReachable
+                    || now.isBefore(at.plus(RESTART_LISTING_TIME))
+                    || hostListRestoredAt
+                        .filter(restored -> now.isBefore(restored.plus(RESTART_LISTING_TIME)))
+                        .isPresent())
+        .isPresent();
+  }
+
+  /**
+   * Returns the software version of a service if it has been the only one for {@link
+   * SoftwareVersions#HISTORY}.
+   */
+  public Optional<String> soleSoftwareVersion(String service, Instant now) {
+    return softwareVersions.sole(
+        service, runners.values().stream().map(Runner::info).toList(), now);
+  }
+
   /** Returns the runner with an id. */
   public Optional<Runner> find(String id) {
     return Optional.ofNullable(runners.get(id));
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagram.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagram.java
@@ -1,7 +1,9 @@
 package org.dragonflyhill.daemon.relay;
 
+import java.util.Map;
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
+import org.dragonflyhill.core.relay.StreamOrigin;
 
 /** A datagram that nodes exchange. Immutable; no component is null. */
 sealed interface PeerDatagram {
@@ -29,6 +31,30 @@
    */
   record Snapshot(String node, PartFeed.Snapshot snapshot) implements PeerDatagram {}
 
+  /**
+   * Where streams began.
+   *
+   * @param node name of the sender
+   * @param origins the origins, by the id of the attempt that brought the first event
+   */
+  record StreamsBegun(String node, Map<String, StreamOrigin> origins) implements PeerDatagram {}
+
+  /**
+   * A question where a stream began.
+   *
+   * @param node name of the sender
+   * @param attempt id of the attempt that brought its first event
+   */
+  record StreamQuery(String node, String attempt) implements PeerDatagram {}
+
+  /**
+   * The answer to a question about a stream that the sender does not know.
+   *
+   * @param node name of the sender
+   * @param attempt id of the attempt
+   */
+  record StreamUnknown(String node, String attempt) implements PeerDatagram {}
+
   /**
    * A request to send part changes again.
    *
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -19,6 +19,7 @@
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
 import org.dragonflyhill.core.relay.RateLimitReport;
+import org.dragonflyhill.core.relay.StreamOrigin;
 import org.dragonflyhill.core.relay.TopicProgress;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -36,6 +37,9 @@
   private static final int KIND_CHANGES = 1;
   private static final int KIND_SNAPSHOT = 2;
   private static final int KIND_RESEND = 3;
+  private static final int KIND_STREAMS_BEGUN = 4;
+  private static final int KIND_STREAM_QUERY = 5;
+  private static final int KIND_STREAM_UNKNOWN = 6;
 
   /** Number of tokens that stands for a cleared holder. */
   private static final int CLEARED = -1;
@@ -73,6 +77,14 @@
         }
         case PeerDatagram.Resend resend ->
             packer.packInt(KIND_RESEND).packString(resend.node()).packLong(resend.from());
+        case PeerDatagram.StreamsBegun begun -> packStreamsBegun(begun, packer);
+        case PeerDatagram.StreamQuery query ->
+            packer.packInt(KIND_STREAM_QUERY).packString(query.node()).packString(query.attempt());
+        case PeerDatagram.StreamUnknown unknown ->
+            packer
+                .packInt(KIND_STREAM_UNKNOWN)
+                .packString(unknown.node())
+                .packString(unknown.attempt());
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -107,6 +119,13 @@
                         unpackChanges(unpacker))));
         case KIND_RESEND ->
             Either.right(new PeerDatagram.Resend(unpacker.unpackString(), unpacker.unpackLong()));
+        case KIND_STREAMS_BEGUN -> Either.right(unpackStreamsBegun(unpacker));
+        case KIND_STREAM_QUERY ->
+            Either.right(
+                new PeerDatagram.StreamQuery(unpacker.unpackString(), unpacker.unpackString()));
+        case KIND_STREAM_UNKNOWN ->
+            Either.right(
+                new PeerDatagram.StreamUnknown(unpacker.unpackString(), unpacker.unpackString()));
         default -> Either.left("kind " + kind);
       };
     } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
@@ -114,6 +133,30 @@
     }
   }
 
+  private static void packStreamsBegun(PeerDatagram.StreamsBegun begun, MessagePacker packer)
+      throws IOException {
+    packer.packInt(KIND_STREAMS_BEGUN).packString(begun.node());
+    packer.packMapHeader(begun.origins().size());
+    for (Map.Entry<String, StreamOrigin> stream : begun.origins().entrySet()) {
+      StreamOrigin origin = stream.getValue();
+      packer.packString(stream.getKey()).packString(origin.service());
+      packer.packString(origin.softwareVersion()).packString(origin.organisation());
+    }
+  }
+
+  private static PeerDatagram.StreamsBegun unpackStreamsBegun(MessageUnpacker unpacker)
+      throws IOException {
+    final String node = unpacker.unpackString();
+    Map<String, StreamOrigin> origins = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      origins.put(
+          unpacker.unpackString(),
+          new StreamOrigin(
+              unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString()));
+    }
+    return new PeerDatagram.StreamsBegun(node, origins);
+  }
+
   private static void packReport(PeerReport report, MessagePacker packer) throws IOException {
     packer.packInt(KIND_REPORT).packString(report.node()).packString(report.zone());
     packer.packLong(report.incarnation()).packLong(report.sequence());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -30,6 +30,7 @@
 import org.dragonflyhill.core.relay.PeerSchedule;
 import org.dragonflyhill.core.relay.RateLimitReport;
 import org.dragonflyhill.core.relay.Runner;
+import org.dragonflyhill.core.relay.StreamOrigin;
 
 /**
  * Exchanges load and changes of cached parts with the other nodes, as UDP datagrams.
@@ -37,7 +38,7 @@
  * <p>Lost reports are not sent again, since the next one replaces them. Part changes are numbered;
  * a node that misses some asks for them.
  */
-public final class PeerGossip implements AutoCloseable {
+public final class PeerGossip implements AutoCloseable, StreamOriginDirectory.Peers {
 
   /** Number of part changes in a datagram, by which it fits into one frame of the network. */
   static final int MAX_CHANGES_PER_DATAGRAM = 50;
@@ -57,7 +58,9 @@
   private final String zone;
   private final long incarnation;
   private final Endpoint ownAddress;
+  private final EventLoop loop;
   private final Channel channel;
+  private final Map<String, Map<String, StreamOrigin>> untoldOrigins = new HashMap<>();
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<String, PartFeed> feeds = new HashMap<>();
   private long sequence;
@@ -82,6 +85,7 @@
       long incarnation,
       HolderAssignment assignment,
       RelayState state) {
+    this.loop = loop;
     this.state = state;
     this.assignment = assignment;
     this.node = node;
@@ -99,6 +103,7 @@
             .bind(ownAddress.host(), ownAddress.port())
             .syncUninterruptibly()
             .channel();
+    state.streamOrigins().usePeers(this);
     PeriodicTask.schedule(loop, PeerSchedule.REPORTS.tick(), state.log(), this::sendReports);
     PeriodicTask.schedule(loop, PeerSchedule.PART_CHANGES.tick(), state.log(), this::sendChanges);
   }
@@ -184,6 +189,56 @@
     return datagrams;
   }
 
+  @Override
+  public List<HolderAssignment.Peer> live() {
+    return state.peers().livePeers(state.now()).stream()
+        .filter(peer -> peers.containsKey(peer.node()))
+        .toList();
+  }
+
+  /** Tells peers with one datagram each of all streams that begin in one pass of the event loop. */
+  @Override
+  public void tell(String attempt, StreamOrigin origin, List<String> nodes) {
+    if (untoldOrigins.isEmpty() && !nodes.isEmpty()) {
+      loop.execute(this::sendOrigins);
+    }
+    nodes.forEach(
+        name -> untoldOrigins.computeIfAbsent(name, any -> new HashMap<>()).put(attempt, origin));
+  }
+
+  private void sendOrigins() {
+    untoldOrigins.forEach(
+        (name, origins) -> sendTo(name, new PeerDatagram.StreamsBegun(node, origins)));
+    untoldOrigins.clear();
+    channel.flush();
+  }
+
+  @Override
+  public void ask(String attempt, List<String> nodes) {
+    nodes.forEach(name -> sendTo(name, new PeerDatagram.StreamQuery(node, attempt)));
+    channel.flush();
+  }
+
+  private void sendTo(String name, PeerDatagram datagram) {
+    Peer peer = peers.get(name);
+    if (peer != null) {
+      send(PeerDatagramCodec.encode(datagram), peer.address);
+    }
+  }
+
+  private void onStreamQuery(PeerDatagram.StreamQuery query, Peer sender) {
+    PeerDatagram answer =
+        state
+            .streamOrigins()
+            .known(query.attempt())
+            .<PeerDatagram>map(
+                known ->
+                    new PeerDatagram.StreamsBegun(node, Map.of(query.attempt(), known.origin())))
+            .orElseGet(() -> new PeerDatagram.StreamUnknown(node, query.attempt()));
+    send(PeerDatagramCodec.encode(answer), sender.address);
+    channel.flush();
+  }
+
   private void send(byte[] bytes, InetSocketAddress address) {
     state.metrics().count("peers.datagrams");
     channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
@@ -245,6 +300,14 @@
       case PeerDatagram.Snapshot snapshot ->
           feed(snapshot.node()).accept(snapshot.snapshot()).forEach(this::apply);
       case PeerDatagram.Resend resend -> onResend(resend.from(), sender);
+      case PeerDatagram.StreamsBegun begun ->
+          begun
+              .origins()
+              .forEach(
+                  (attempt, origin) -> state.streamOrigins().onTold(begun.node(), attempt, origin));
+      case PeerDatagram.StreamQuery query -> onStreamQuery(query, sender);
+      case PeerDatagram.StreamUnknown unknown ->
+          state.streamOrigins().onUnknown(unknown.node(), unknown.attempt());
     }
   }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -70,6 +70,7 @@
   private final AnnouncedWeights announcedWeights = new AnnouncedWeights();
   private final WeightsDeadline weightsDeadline;
   private final CrashSuspects crashSuspects = new CrashSuspects();
+  private final StreamOriginDirectory streamOrigins;
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
   private boolean isLogReachable;
@@ -101,6 +102,7 @@
     this.metrics = metrics;
     this.retryLimits = retryLimits;
     this.weightsDeadline = weightsDeadline;
+    streamOrigins = new StreamOriginDirectory(clock, metrics);
     runnerSelector = new RunnerSelector(parts, peers, announcedWeights, weightsDeadline, zone);
   }
 
@@ -192,6 +194,21 @@
     return crashSuspects;
   }
 
+  /** Returns where the latest streams began. */
+  StreamOriginDirectory streamOrigins() {
+    return streamOrigins;
+  }
+
+  /** Returns the version of the software that a runner has, empty if that is not certain. */
+  Optional<String> softwareVersion(Runner runner) {
+    return runners.softwareVersion(runner, isLogReachable, now());
+  }
+
+  /** Returns the software version of a service if it has been the only one for long enough. */
+  Optional<String> soleSoftwareVersion(String service) {
+    return isLogReachable ? runners.soleSoftwareVersion(service, now()) : Optional.empty();
+  }
+
   /** Returns whether the log service is reachable. */
   public boolean isLogReachable() {
     return isLogReachable;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -39,6 +40,10 @@
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.RunnerSelector;
 import org.dragonflyhill.core.relay.Service;
+import org.dragonflyhill.core.relay.StreamBinding;
+import org.dragonflyhill.core.relay.StreamContinuation;
+import org.dragonflyhill.core.relay.StreamOrigin;
+import org.dragonflyhill.core.relay.StreamOrigins;
 
 /**
  * A caller's request in progress. Chooses a runner, forwards the request to it and relays the
@@ -94,6 +99,11 @@
   private final Instant receivedAt;
   private final Set<String> triedRunners = new HashSet<>();
   private final EventStream eventStream = new EventStream();
+  private final StreamBinding streamBinding = new StreamBinding();
+
+  /** Id of the caller's attempt that brought or will bring the first event of the stream. */
+  private String firstAttempt = "";
+
   private HeaderCodec.RequestHeaders requestHeaders;
   private RelayConfiguration configuration;
   private Route route;
@@ -118,6 +128,10 @@
   private Instant waitUntil = Instant.MAX;
   private boolean isResponseStarted;
   private boolean isEventStream;
+
+  /** Whether the origin of the stream was recorded when this node passed its first event. */
+  private boolean isStreamTold;
+
   private boolean isFinished;
 
   RelayedRequest(
@@ -172,7 +186,81 @@
     }
     Instant routeDeadline = receivedAt.plus(route.timeout());
     deadline = callerDeadline.isBefore(routeDeadline) ? callerDeadline : routeDeadline;
-    String service = route.serviceFor(trafficSplitPoint());
+    if (route.kind() == Route.Kind.STREAM && route.isResumable()) {
+      startStream();
+    } else {
+      startAt(route.serviceFor(trafficSplitPoint(id())));
+    }
+  }
+
+  /** Starts a stream, or goes on with one that its caller takes up again. */
+  private void startStream() {
+    Either<String, Optional<String>> resumed = requestHeaders.resumedAttempt();
+    if (resumed.isLeft()) {
+      refuse(HttpResponseStatus.BAD_REQUEST, "malformed", resumed.getLeft(), Optional.empty());
+    } else if (resumed.get().isPresent()) {
+      firstAttempt = resumed.get().get();
+      state.streamOrigins().find(firstAttempt, this::continueStream);
+    } else {
+      firstAttempt = id();
+      continueStream(Optional.empty());
+    }
+  }
+
+  /** Goes on with the stream at the software version that began it, if any has. */
+  private void continueStream(Optional<StreamOrigins.Known> known) {
+    if (isFinished) {
+      return;
+    }
+    String splitService = route.serviceFor(trafficSplitPoint(firstAttempt));
+    StreamContinuation continuation =
+        StreamContinuation.decide(
+            requestHeaders.lastEventId().isPresent(),
+            known.map(StreamOrigins.Known::origin),
+            state
+                .soleSoftwareVersion(splitService)
+                .map(version -> new StreamOrigin(splitService, version, organisationName())),
+            organisationName(),
+            route.shares().stream().map(Route.Share::service).toList());
+    switch (continuation) {
+      case StreamContinuation.Anew anew -> {
+        firstAttempt = id();
+        startAt(route.serviceFor(trafficSplitPoint(id())));
+      }
+      case StreamContinuation.GoOn goOn -> {
+        streamBinding.bind(Optional.of(goOn.origin()));
+        logStreamTakenUp(goOn.origin(), known);
+        startAt(goOn.origin().service());
+      }
+      case StreamContinuation.Refused refused ->
+          refuseUnavailable("stream_not_resumed", refused.reason(), NO_RUNNER_RETRY_AFTER);
+    }
+  }
+
+  private void logStreamTakenUp(StreamOrigin origin, Optional<StreamOrigins.Known> known) {
+    state.metrics().count("relay.streams_taken_up");
+    state
+        .log()
+        .info(
+            "stream_taken_up",
+            event ->
+                event
+                    .with("request", id())
+                    .with("begun_by", firstAttempt)
+                    .with("software", origin.softwareVersion())
+                    .with("source", known.map(StreamOrigins.Known::source).orElse("sole version"))
+                    .with(
+                        "known_ms",
+                        known
+                            .map(k -> Duration.between(k.recordedAt(), state.now()).toMillis())
+                            .orElse(0L)));
+  }
+
+  private String organisationName() {
+    return organisation.map(Organisation::name).orElse("");
+  }
+
+  private void startAt(String service) {
     Optional<Service.Pool> foundPool = configuration.pool(service);
     if (foundPool.isEmpty()) {
       refuseUnavailable("no_service", "unknown service " + service, NO_RUNNER_RETRY_AFTER);
@@ -194,9 +282,9 @@
     return organisation.isPresent();
   }
 
-  /** Returns a number from 0 to below 1 that is derived from the request id and the route. */
-  private double trafficSplitPoint() {
-    int hash = (id() + route.name()).hashCode() * 0x9E3779B9;
+  /** Returns a number from 0 to below 1 that is derived from a request id and the route. */
+  private double trafficSplitPoint(String requestId) {
+    int hash = (requestId + route.name()).hashCode() * 0x9E3779B9;
     return (hash >>> 8) / (double) (1 << 24);
   }
 
@@ -211,11 +299,10 @@
   /** Returns what this request has in common with those that are alike. */
   private String fingerprint() {
     if (fingerprint.isEmpty()) {
-      String organisationName = organisation.map(Organisation::name).orElse("");
       String caller = requestHeaders.apiKey().filter(key -> organisation.isEmpty()).orElse("");
       fingerprint =
           RequestFingerprint.of(
-              organisationName + '\n' + caller,
+              organisationName() + '\n' + caller,
               request.method().name(),
               request.headers().get(HttpHeaderNames.HOST),
               request.uri(),
@@ -237,7 +324,7 @@
     List<Runner> candidates = untriedRunners();
     Optional<Attempt> next = chooseRunner(candidates, now);
     if (next.isEmpty()) {
-      if (!candidates.isEmpty() || !waitForRateLimit(now)) {
+      if (!candidates.isEmpty() || hasOutlivedSoftware() || !waitForRateLimit(now)) {
         failWithoutRunner(!candidates.isEmpty());
       }
       return;
@@ -342,7 +429,12 @@
   private void failWithoutRunner(boolean hasCandidates) {
     Optional<Duration> backoffLeft = state.backoffLeft(pool.name());
     Optional<RateLimitForecast> forecast = state.rateLimitForecast(pool.name());
-    if (hasCandidates) {
+    if (hasOutlivedSoftware()) {
+      fail(
+          "software_gone",
+          "no runner of software version " + streamBinding.describe() + " to go on with the stream",
+          NO_RUNNER_RETRY_AFTER);
+    } else if (hasCandidates) {
       fail("weights_replaced", "all runners left have replaced weights", NO_RUNNER_RETRY_AFTER);
     } else if (forecast.isPresent()) {
       double spread = ThreadLocalRandom.current().nextDouble();
@@ -361,9 +453,17 @@
   private List<Runner> untriedRunners() {
     return state.permitted(pool.name()).stream()
         .filter(runner -> !triedRunners.contains(runner.id()))
+        .filter(runner -> streamBinding.permits(state.softwareVersion(runner)))
         .toList();
   }
 
+  /** Returns whether the stream is bound to a version that no runner which accepts requests has. */
+  private boolean hasOutlivedSoftware() {
+    return streamBinding.isBound()
+        && state.runners().availableRunners(pool.name()).stream()
+            .noneMatch(runner -> streamBinding.permits(state.softwareVersion(runner)));
+  }
+
   /** Queues the request at this node; {@link RequestQueue} retries it until its wait is over. */
   private void enqueue(String explanation, Instant now) {
     if (waitUntil.equals(Instant.MAX)) {
@@ -427,6 +527,11 @@
       server.runnerConnections().release(connection);
       return;
     }
+    if (!streamBinding.permits(state.softwareVersion(chosen.runner))) {
+      server.runnerConnections().release(connection);
+      onConnectFailed(chosen, new IOException("the runner may have been replaced"));
+      return;
+    }
     final Instant now = state.now();
     var forwarded = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
     HttpHeaders headers = forwarded.headers();
@@ -459,10 +564,6 @@
   }
 
   private void logResumption(Attempt chosen, String lastEventId) {
-    String begunBy =
-        eventStream.lastId().isPresent()
-            ? id()
-            : requestHeaders.resumedAttempt().fold(error -> error, attempt -> attempt.orElse(""));
     state
         .log()
         .info(
@@ -470,7 +571,7 @@
             event ->
                 event
                     .with("request", id())
-                    .with("begun_by", begunBy)
+                    .with("begun_by", firstAttempt)
                     .with("last_event", lastEventId)
                     .with("runner", chosen.runner.id())
                     .with("software", chosen.runner.info().softwareVersion().orElse("unknown")));
@@ -1104,6 +1205,7 @@
       if (isResumable()) {
         byte[] completeEvents = eventStream.append(ByteBufUtil.getBytes(bytes));
         if (completeEvents.length > 0) {
+          bindStream();
           caller.writeContent(Unpooled.wrappedBuffer(completeEvents));
         }
         if (eventStream.isEventTooLong()) {
@@ -1122,6 +1224,22 @@
       }
     }
 
+    /** Binds the stream to the software version of this runner before it passes the first event. */
+    private void bindStream() {
+      if (!streamBinding.isBound()) {
+        streamBinding.bind(
+            state
+                .softwareVersion(runner)
+                .map(version -> new StreamOrigin(pool.name(), version, organisationName())));
+      }
+      if (!isStreamTold) {
+        isStreamTold = true;
+        streamBinding
+            .origin()
+            .ifPresent(origin -> state.streamOrigins().begin(firstAttempt, origin));
+      }
+    }
+
     @Override
     public void onReadComplete() {
       if (!isEnded) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerCrashDetector.java
@@ -79,6 +79,7 @@
 
   private void onCrashed(Runner runner) {
     Check check = checksByRunner.remove(runner.id());
+    runner.recordUnreached(state.now());
     List<Suspect> suspects = check.suspects();
     Set<String> parts = new TreeSet<>();
     suspects.forEach(suspect -> parts.addAll(suspect.parts()));
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -18,6 +18,7 @@
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
 import org.dragonflyhill.core.relay.RateLimitReport;
+import org.dragonflyhill.core.relay.StreamOrigin;
 import org.dragonflyhill.core.relay.TopicProgress;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -76,6 +77,14 @@
       {new PeerDatagram.Changes("front-1", new PartFeed.Changes(17, 70, CHANGES))},
       {new PeerDatagram.Snapshot("front-1", new PartFeed.Snapshot(17, 77, 0, 2, CHANGES))},
       {new PeerDatagram.Resend("front-1", PartFeed.SNAPSHOT)},
+      {
+        new PeerDatagram.StreamsBegun(
+            "front-1",
+            Map.of(
+                "7f3a", new StreamOrigin("s", "v1.2", "granja"), "", new StreamOrigin("", "", "")))
+      },
+      {new PeerDatagram.StreamQuery("front-1", "7f3a")},
+      {new PeerDatagram.StreamUnknown("front-1", "7f3a")},
     };
   }
 
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.daemon.relay;
 
 import static org.awaitility.Awaitility.await;
+import static org.testng.Assert.assertEquals;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -12,12 +13,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.HolderAssignment;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
+import org.dragonflyhill.core.relay.StreamOrigin;
+import org.dragonflyhill.core.relay.StreamOrigins;
 import org.dragonflyhill.core.relay.WeightsDeadline;
 import org.dragonflyhill.daemon.MonotonicClock;
 import org.dragonflyhill.daemon.NodeMetrics;
@@ -88,6 +93,29 @@
     group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync();
   }
 
+  /** A peer is told where a stream began, and can be asked for streams that it was not told of. */
+  @Test
+  public void peersTellWhereStreamsBegan() throws Exception {
+    var origin = new StreamOrigin("s", "v1", "granja");
+    await().until(() -> loop.submit(() -> !first.gossip.live().isEmpty()).get());
+    await().until(() -> loop.submit(() -> !second.gossip.live().isEmpty()).get());
+    onLoop(() -> first.state.streamOrigins().begin("told", origin));
+    await()
+        .until(
+            () -> loop.submit(() -> second.state.streamOrigins().known("told")).get().isPresent());
+    List<Optional<StreamOrigins.Known>> found = new CopyOnWriteArrayList<>();
+    onLoop(
+        () -> {
+          first.state.streamOrigins().onTold("n3", "asked", origin);
+          second.state.streamOrigins().find("asked", found::add);
+          second.state.streamOrigins().find("never-begun", found::add);
+        });
+    await().until(() -> found.size() == 2);
+    assertEquals(
+        found.stream().flatMap(Optional::stream).map(StreamOrigins.Known::origin).toList(),
+        List.of(origin));
+  }
+
   /** A report with much to tell must arrive whole, since everything else in it is lost too. */
   @Test
   public void longestReportArrives() throws Exception {
