--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/StreamOriginPatternTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/StreamOriginPatternTest.java
@@ -29,6 +29,7 @@
 public final class StreamOriginPatternTest {
 
   private static final int STREAMS = 400;
+  private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1", "");
   private static final Duration TICK = Duration.ofMillis(20);
 
   /** Pattern: nodes, share of datagrams lost, whether the first node dies, dead zone, restarts. */
@@ -100,6 +101,35 @@
     assertTrue(Duration.between(start, network.now).compareTo(Duration.ofMillis(200)) <= 0);
   }
 
+  /** Lost questions are asked again, before the lookup is given up. */
+  @Test
+  public void asksAgainIfNobodyAnswers() {
+    Network network = new Network(4, 0, new Random(1));
+    network.nodes.get(0).directory.begin("begun", ORIGIN);
+    network.deliver();
+    Node restarted = network.nodes.get(1);
+    restarted.restart();
+    List<Optional<StreamOrigins.Known>> found = new ArrayList<>();
+    restarted.directory.find("begun", found::add);
+    network.messages.clear();
+    network.settle();
+    assertEquals(found.getFirst().map(StreamOrigins.Known::origin), Optional.of(ORIGIN));
+  }
+
+  /** If those that should have been told know nothing, the other nodes are asked. */
+  @Test
+  public void asksOtherNodesIfHoldersKnowNothing() {
+    Network network = new Network(61, 0, new Random(1));
+    network.nodes.get(7).directory.begin("begun", ORIGIN);
+    network.messages.clear();
+    for (Node node : List.of(network.nodes.get(8), network.nodes.get(9))) {
+      List<Optional<StreamOrigins.Known>> found = new ArrayList<>();
+      node.directory.find("begun", found::add);
+      network.deliver();
+      assertEquals(found.getFirst().map(StreamOrigins.Known::origin), Optional.of(ORIGIN));
+    }
+  }
+
   /** Directories of nodes whose messages are delivered at once or lost. */
   private static final class Network {
     private final Random random;
