--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -50,7 +50,9 @@
     this.loop = loop;
     this.state = state;
     this.headerCodec = headerCodec;
-    this.runnerConnections = new RunnerConnectionPool(loop, headerCodec, state.log(), state::now);
+    this.runnerConnections =
+        new RunnerConnectionPool(
+            loop, headerCodec, state.log(), state::now, state::recordConnectAttempt);
     this.crashDetector = new RunnerCrashDetector(loop, state, runnerConnections);
     serverChannel =
         new ServerBootstrap()
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.AnnouncedWeights;
 import org.dragonflyhill.core.relay.CrashSuspects;
@@ -34,6 +35,7 @@
 import org.dragonflyhill.core.relay.RunnerSelector;
 import org.dragonflyhill.core.relay.RunnerTable;
 import org.dragonflyhill.core.relay.Service;
+import org.dragonflyhill.core.relay.ServiceReach;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
 import org.dragonflyhill.core.relay.WeightsDeadline;
 import org.dragonflyhill.core.relay.WeightsInUse;
@@ -71,6 +73,7 @@
   private final WeightsDeadline weightsDeadline;
   private final CrashSuspects crashSuspects = new CrashSuspects();
   private final StreamOriginDirectory streamOrigins;
+  private final Map<String, ServiceReach> reachByService = new HashMap<>();
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
   private boolean isLogReachable;
@@ -194,6 +197,58 @@
     return crashSuspects;
   }
 
+  /** Records whether a new connection to an endpoint was opened, if a runner has it. */
+  void recordConnectAttempt(Endpoint endpoint, boolean isConnected) {
+    runners.all().stream()
+        .filter(runner -> runner.info().endpoint().equals(endpoint))
+        .findFirst()
+        .ifPresent(
+            runner -> {
+              if (isConnected) {
+                onRunnerConnected(runner);
+              } else {
+                onRunnerNotConnected(runner);
+              }
+            });
+  }
+
+  private void onRunnerConnected(Runner runner) {
+    String service = runner.info().service();
+    if (reach(service).recordConnected()) {
+      log.info(
+          "runners_in_reach", event -> event.with("service", service).with("runner", runner.id()));
+    }
+  }
+
+  private void onRunnerNotConnected(Runner runner) {
+    String service = runner.info().service();
+    Instant now = now();
+    if (!reach(service).recordFailed(runner.id(), availableIds(service), now)) {
+      return;
+    }
+    metrics.count("relay.runners_out_of_reach");
+    Map<String, Long> failures = new TreeMap<>();
+    reach(service)
+        .failures()
+        .forEach((id, at) -> failures.put(id, Duration.between(at, now).toMillis()));
+    log.info(
+        "runners_out_of_reach",
+        event ->
+            event
+                .with("service", service)
+                .with("failed_ms_ago", failures)
+                .with("available", availableIds(service).size())
+                .with("peers", peers.livePeers(now).size()));
+  }
+
+  private List<String> availableIds(String service) {
+    return runners.availableRunners(service).stream().map(Runner::id).toList();
+  }
+
+  private ServiceReach reach(String service) {
+    return reachByService.computeIfAbsent(service, any -> new ServiceReach());
+  }
+
   /** Returns where the latest streams began. */
   StreamOriginDirectory streamOrigins() {
     return streamOrigins;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
@@ -46,11 +46,17 @@
   private final HeaderCodec headerCodec;
   private final DecisionLog log;
   private final InstantSource clock;
+  private final ConnectObserver observer;
   private final Map<Endpoint, IdleConnections> idleByEndpoint = new HashMap<>();
   private long openedCount;
 
   RunnerConnectionPool(
-      EventLoop loop, HeaderCodec headerCodec, DecisionLog log, InstantSource clock) {
+      EventLoop loop,
+      HeaderCodec headerCodec,
+      DecisionLog log,
+      InstantSource clock,
+      ConnectObserver observer) {
+    this.observer = observer;
     this.loop = loop;
     this.headerCodec = headerCodec;
     this.log = log;
@@ -118,6 +124,7 @@
             .connect(endpoint.host(), endpoint.port());
     connecting.addListener(
         future -> {
+          observer.onConnectEnded(endpoint, future.isSuccess());
           if (!future.isSuccess()) {
             failed.accept(future.cause());
             return;
@@ -163,6 +170,14 @@
     return idleByEndpoint.computeIfAbsent(endpoint, any -> new IdleConnections());
   }
 
+  /** Is told of every attempt to open a connection, whoever asked for it. */
+  @FunctionalInterface
+  interface ConnectObserver {
+
+    /** Called when a connection has been opened, or could not be. */
+    void onConnectEnded(Endpoint endpoint, boolean isConnected);
+  }
+
   private static final class IdleConnections {
     private final Deque<RunnerConnection> connections = new ArrayDeque<>();
   }
