Have peers serve the requests of nodes that reach no runner

Cause: a node had no way to runners but its own connections, and did not know that it was cut off, so each request found out anew. Class of fault: a partial failure of the network is handled like a failure of the endpoints.

A node now counts as cut off from a service once new connections to all its runners, or to six in a row, have failed without one that succeeded. A suspicion, and a runner that sends nothing, is verified by connections of its own. It then hands requests to a peer, over TCP on the port between nodes, in the callers' protocol, so that the peer does what it does for its own callers and its answer, refusals too, is relayed unchanged. Peers say which services they cannot reach and are left out; the one with the fewest requests of this node is taken. A request that a peer received is not handed on again. A link that breaks leaves the outcome open (502). The request counts in the retry budget of the node that sends it.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -257,6 +257,13 @@
     return ejections > 0 && !now.isBefore(ejectedUntil);
   }
 
+  /** Lets an ejected runner be probed at once. */
+  public void probeNow(Instant now) {
+    if (ejections > 0) {
+      ejectedUntil = now;
+    }
+  }
+
   /** Ends the ejection, after a connection to the runner succeeded or it sent data again. */
   public void endEjection() {
     isEjectedForSilence = false;
--- a/core/src/main/java/org/dragonflyhill/core/relay/ServiceReach.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/ServiceReach.java
@@ -50,7 +50,7 @@
    */
   public boolean recordFailed(String runner, Collection<String> available, Instant now) {
     failedAt.put(runner, now);
-    failedAt.values().removeIf(at -> at.isBefore(now.minus(FAILURE_MEMORY)));
+    forgetOld(now);
     boolean wasCutOff = isCutOff;
     long failed = available.stream().filter(failedAt::containsKey).count();
     isCutOff |= failed > 0 && failed >= Math.min(available.size(), MAX_FAILURES_NEEDED);
@@ -63,19 +63,24 @@
   }
 
   /**
-   * Returns the runners to connect to in order to tell whether all are out of reach, none without a
-   * suspicion.
+   * Returns the runners to connect to in order to tell whether all are out of reach, or still are;
+   * none without a suspicion.
    */
-  public List<String> toVerify(Collection<String> available) {
-    if (isCutOff || failedAt.size() < SUSPICIOUS_FAILURES) {
+  public List<String> toVerify(Collection<String> available, Instant now) {
+    forgetOld(now);
+    if (!isCutOff && failedAt.size() < SUSPICIOUS_FAILURES) {
       return List.of();
     }
     return available.stream()
-        .filter(runner -> !failedAt.containsKey(runner))
-        .limit(Math.max(0, MAX_FAILURES_NEEDED - failedAt.size()))
+        .filter(runner -> isCutOff || !failedAt.containsKey(runner))
+        .limit(MAX_FAILURES_NEEDED)
         .toList();
   }
 
+  private void forgetOld(Instant now) {
+    failedAt.values().removeIf(at -> at.isBefore(now.minus(FAILURE_MEMORY)));
+  }
+
   /** Returns the runners to which no connection succeeds, and when it last failed. */
   public Map<String, Instant> failures() {
     return Map.copyOf(failedAt);
--- a/core/src/test/java/org/dragonflyhill/core/relay/ServiceReachTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/ServiceReachTest.java
@@ -48,9 +48,9 @@
       for (int down = 0; down < 5; down++) {
         reach.recordFailed("r" + down, available, NOW);
       }
-      assertEquals(reach.toVerify(available), List.of("r5"));
+      assertEquals(reach.toVerify(available, NOW), List.of("r5", "r6", "r7"));
       reach.recordConnected();
-      assertEquals(reach.toVerify(available), List.of());
+      assertEquals(reach.toVerify(available, NOW), List.of());
     }
     assertFalse(reach.isCutOff());
   }
@@ -63,7 +63,7 @@
       reach.recordFailed("r0", runners(3), NOW);
     }
     assertFalse(reach.isCutOff());
-    assertEquals(reach.toVerify(runners(3)), List.of());
+    assertEquals(reach.toVerify(runners(3), NOW), List.of());
   }
 
   /** Failures that are long past do not add up to a cut. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -43,6 +43,7 @@
 
   private final RelayServer server;
   private final Channel channel;
+  private final boolean isPeer;
   private final Deque<HttpObject> queuedMessages = new ArrayDeque<>();
   private Optional<HttpRequest> pendingRequest = Optional.empty();
   private CompositeByteBuf body = Unpooled.compositeBuffer();
@@ -52,13 +53,27 @@
   private Instant idleSince;
   private boolean isClosing;
 
-  CallerConnection(RelayServer server, Channel channel, Instant now) {
+  /**
+   * Creates a connection without requests.
+   *
+   * @param server server that accepted it
+   * @param channel channel of the connection
+   * @param isPeer whether it is a node that forwards its callers' requests
+   * @param now present time
+   */
+  CallerConnection(RelayServer server, Channel channel, boolean isPeer, Instant now) {
     this.server = server;
     this.channel = channel;
+    this.isPeer = isPeer;
     requestStartedAt = now;
     idleSince = now;
   }
 
+  /** Returns whether the requests come from a node that could not serve them itself. */
+  boolean isPeer() {
+    return isPeer;
+  }
+
   /** Starts the request timeout with the first bytes of a request, before they are decoded. */
   void onBytesReceived() {
     if (!hasRequestStarted && activeRequest.isEmpty()) {
@@ -316,6 +331,11 @@
     }
   }
 
+  /** Closes the connection, which cancels its request. */
+  void close() {
+    channel.close();
+  }
+
   /** Closes the connection if it carries no request, neither active nor partly received. */
   void closeIfIdle() {
     if (activeRequest.isEmpty() && !hasRequestStarted && pendingRequest.isEmpty()) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
@@ -36,6 +36,9 @@
   /** Adds the fields that tell a runner how to run a request. */
   void addDispatchHeaders(HttpHeaders headers, DispatchInfo dispatch);
 
+  /** Sets for how long the caller still waits, on a request that is forwarded to a peer. */
+  void setTimeLeft(HttpHeaders headers, Duration timeLeft);
+
   /** Parses the header fields of a runner's response. */
   ResponseHeaders parseResponse(HttpResponse response);
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagram.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagram.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.daemon.relay;
 
 import java.util.Map;
+import java.util.Set;
 import org.dragonflyhill.core.relay.PartFeed;
 import org.dragonflyhill.core.relay.PeerReport;
 import org.dragonflyhill.core.relay.StreamOrigin;
@@ -55,6 +56,14 @@
    */
   record StreamUnknown(String node, String attempt) implements PeerDatagram {}
 
+  /**
+   * The services whose runners a node cannot reach.
+   *
+   * @param node name of the sender
+   * @param services names of the services
+   */
+  record OutOfReach(String node, Set<String> services) implements PeerDatagram {}
+
   /**
    * A request to send part changes again.
    *
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -40,6 +40,7 @@
   private static final int KIND_STREAMS_BEGUN = 4;
   private static final int KIND_STREAM_QUERY = 5;
   private static final int KIND_STREAM_UNKNOWN = 6;
+  private static final int KIND_OUT_OF_REACH = 7;
 
   /** Number of tokens that stands for a cleared holder. */
   private static final int CLEARED = -1;
@@ -77,6 +78,7 @@
         }
         case PeerDatagram.Resend resend ->
             packer.packInt(KIND_RESEND).packString(resend.node()).packLong(resend.from());
+        case PeerDatagram.OutOfReach reach -> packOutOfReach(reach, packer);
         case PeerDatagram.StreamsBegun begun -> packStreamsBegun(begun, packer);
         case PeerDatagram.StreamQuery query ->
             packer.packInt(KIND_STREAM_QUERY).packString(query.node()).packString(query.attempt());
@@ -119,6 +121,7 @@
                         unpackChanges(unpacker))));
         case KIND_RESEND ->
             Either.right(new PeerDatagram.Resend(unpacker.unpackString(), unpacker.unpackLong()));
+        case KIND_OUT_OF_REACH -> Either.right(unpackOutOfReach(unpacker));
         case KIND_STREAMS_BEGUN -> Either.right(unpackStreamsBegun(unpacker));
         case KIND_STREAM_QUERY ->
             Either.right(
@@ -133,6 +136,25 @@
     }
   }
 
+  private static void packOutOfReach(PeerDatagram.OutOfReach reach, MessagePacker packer)
+      throws IOException {
+    packer.packInt(KIND_OUT_OF_REACH).packString(reach.node());
+    packer.packArrayHeader(reach.services().size());
+    for (String service : reach.services()) {
+      packer.packString(service);
+    }
+  }
+
+  private static PeerDatagram.OutOfReach unpackOutOfReach(MessageUnpacker unpacker)
+      throws IOException {
+    final String node = unpacker.unpackString();
+    Set<String> services = new HashSet<>();
+    for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
+      services.add(unpacker.unpackString());
+    }
+    return new PeerDatagram.OutOfReach(node, services);
+  }
+
   private static void packStreamsBegun(PeerDatagram.StreamsBegun begun, MessagePacker packer)
       throws IOException {
     packer.packInt(KIND_STREAMS_BEGUN).packString(begun.node());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -152,6 +152,11 @@
     sendChanges(due);
     byte[] report = PeerDatagramCodec.encode(new PeerDatagram.Report(buildReport(now)));
     due.forEach(peer -> send(report, peer.address));
+    Set<String> outOfReach = state.servicesOutOfReach();
+    if (!outOfReach.isEmpty()) {
+      byte[] reach = PeerDatagramCodec.encode(new PeerDatagram.OutOfReach(node, outOfReach));
+      due.forEach(peer -> send(reach, peer.address));
+    }
     channel.flush();
   }
 
@@ -196,6 +201,17 @@
         .toList();
   }
 
+  /** Returns the address of a peer, at which it also accepts connections of other nodes. */
+  Optional<Endpoint> endpoint(String name) {
+    return Optional.ofNullable(peers.get(name))
+        .map(peer -> new Endpoint(peer.address.getHostString(), peer.address.getPort()));
+  }
+
+  /** Returns whether a registered node has a network address. */
+  boolean isPeerHost(String host) {
+    return peers.values().stream().anyMatch(peer -> peer.address.getHostString().equals(host));
+  }
+
   /** Tells peers with one datagram each of all streams that begin in one pass of the event loop. */
   @Override
   public void tell(String attempt, StreamOrigin origin, List<String> nodes) {
@@ -300,6 +316,8 @@
       case PeerDatagram.Snapshot snapshot ->
           feed(snapshot.node()).accept(snapshot.snapshot()).forEach(this::apply);
       case PeerDatagram.Resend resend -> onResend(resend.from(), sender);
+      case PeerDatagram.OutOfReach reach ->
+          state.forwardTargets().recordOutOfReach(reach.node(), reach.services(), state.now());
       case PeerDatagram.StreamsBegun begun ->
           begun
               .origins()
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -11,9 +11,13 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.Runner;
@@ -31,6 +35,9 @@
 
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
 
+  /** Minimum time between two connections that tell whether a runner can be reached. */
+  private static final Duration MIN_VERIFICATION_INTERVAL = Duration.ofSeconds(1);
+
   /** Maximum number of connections that wait to be accepted. */
   private static final int BACKLOG = 1_024;
 
@@ -39,10 +46,13 @@
   private final HeaderCodec headerCodec;
   private final RunnerConnectionPool runnerConnections;
   private final RunnerCrashDetector crashDetector;
+  private final PeerForwarder forwarder;
+  private final Map<String, Instant> verifiedAt = new HashMap<>();
   private final Set<CallerConnection> callers = new HashSet<>();
   private final Set<RelayedRequest> activeRequests = new HashSet<>();
   private final RequestQueue queue = new RequestQueue();
   private final Channel serverChannel;
+  private Optional<Channel> peerChannel = Optional.empty();
   private boolean isRefusingRequests;
 
   /** Binds the address and starts to accept connections. */
@@ -54,24 +64,8 @@
         new RunnerConnectionPool(
             loop, headerCodec, state.log(), state::now, state::recordConnectAttempt);
     this.crashDetector = new RunnerCrashDetector(loop, state, runnerConnections);
-    serverChannel =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.SO_KEEPALIVE, true)
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    onConnectionOpened(channel);
-                  }
-                })
-            .bind(address.host(), address.port())
-            .syncUninterruptibly()
-            .channel();
+    forwarder = new PeerForwarder(loop, headerCodec, state);
+    serverChannel = listen(address, channel -> onConnectionOpened(channel, false));
     scheduleEvery(REQUEST_CHECK_INTERVAL, this::checkRequestTimeouts);
     scheduleEvery(QUEUE_RETRY_INTERVAL, () -> queue.retry(state.now()));
     scheduleEvery(STREAM_LOOKUP_INTERVAL, () -> state.streamOrigins().checkLookups(state.now()));
@@ -87,13 +81,56 @@
         .registerGauge("relay.runner_connections_opened", runnerConnections::openedCount);
   }
 
+  private Channel listen(Endpoint address, Consumer<SocketChannel> opened) {
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.SO_KEEPALIVE, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                opened.accept(channel);
+              }
+            })
+        .bind(address.host(), address.port())
+        .syncUninterruptibly()
+        .channel();
+  }
+
   private void scheduleEvery(Duration interval, Runnable task) {
     PeriodicTask.schedule(loop, interval, state.log(), task);
   }
 
-  private void onConnectionOpened(SocketChannel channel) {
+  /**
+   * Lets peers serve requests while this node reaches no runner, and serves theirs.
+   *
+   * @param gossip the peers
+   * @param address address to bind, for connections of registered nodes only
+   */
+  public void joinPeers(PeerGossip gossip, Endpoint address) {
+    forwarder.usePeers(gossip);
+    peerChannel =
+        Optional.of(
+            listen(
+                address,
+                channel -> {
+                  String host = channel.remoteAddress().getAddress().getHostAddress();
+                  if (gossip.isPeerHost(host)) {
+                    onConnectionOpened(channel, true);
+                  } else {
+                    state.metrics().count("peers.unknown_sender");
+                    channel.close();
+                  }
+                }));
+  }
+
+  private void onConnectionOpened(SocketChannel channel, boolean isPeer) {
     RelayConfiguration.CallerLimits limits = limits();
-    var caller = new CallerConnection(this, channel, state.now());
+    var caller = new CallerConnection(this, channel, isPeer, state.now());
     var config =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(limits.maxHeaderBytes())
@@ -117,6 +154,12 @@
     List.copyOf(callers).forEach(caller -> caller.checkTimeouts(now));
     runnerConnections.closeExpired();
     state.runners().all().stream().filter(runner -> runner.isProbeDue(now)).forEach(this::probe);
+    verifiedAt
+        .values()
+        .removeIf(at -> Duration.between(at, now).compareTo(MIN_VERIFICATION_INTERVAL) >= 0);
+    state.runnersToVerify().stream()
+        .filter(runner -> verifiedAt.putIfAbsent(runner.id(), now) == null)
+        .forEach(this::probe);
     state.parts().expireExpectations(now);
     state.onRunnersRemoved(state.runners().removeExpired(now));
   }
@@ -153,6 +196,11 @@
     return runnerConnections;
   }
 
+  /** Returns the peers that serve requests while this node reaches no runner. */
+  PeerForwarder forwarder() {
+    return forwarder;
+  }
+
   RunnerCrashDetector crashDetector() {
     return crashDetector;
   }
@@ -199,7 +247,7 @@
   /** Stops accepting connections, and refuses new requests on those that are open. */
   public void refuseNewRequests() {
     isRefusingRequests = true;
-    serverChannel.close();
+    stopAccepting();
   }
 
   boolean isRefusingRequests() {
@@ -216,8 +264,15 @@
     List.copyOf(callers).forEach(CallerConnection::closeIfIdle);
   }
 
+  private void stopAccepting() {
+    serverChannel.close();
+    peerChannel.ifPresent(Channel::close);
+  }
+
+  /** Stops accepting connections and closes those that are open, also during a request. */
   @Override
   public void close() {
-    serverChannel.close();
+    stopAccepting();
+    loop.execute(() -> List.copyOf(callers).forEach(CallerConnection::close));
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -1,22 +1,28 @@
 package org.dragonflyhill.daemon.relay;
 
+import static java.util.stream.Collectors.toSet;
+
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.AnnouncedWeights;
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.ForwardTargets;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartChangeLog;
@@ -74,6 +80,7 @@
   private final CrashSuspects crashSuspects = new CrashSuspects();
   private final StreamOriginDirectory streamOrigins;
   private final Map<String, ServiceReach> reachByService = new HashMap<>();
+  private final ForwardTargets forwardTargets = new ForwardTargets();
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
   private boolean isLogReachable;
@@ -201,8 +208,8 @@
   void recordConnectAttempt(Endpoint endpoint, boolean isConnected) {
     runners.all().stream()
         .filter(runner -> runner.info().endpoint().equals(endpoint))
-        .findFirst()
-        .ifPresent(
+        .toList()
+        .forEach(
             runner -> {
               if (isConnected) {
                 onRunnerConnected(runner);
@@ -215,6 +222,8 @@
   private void onRunnerConnected(Runner runner) {
     String service = runner.info().service();
     if (reach(service).recordConnected()) {
+      runners.availableRunners(service).forEach(other -> other.probeNow(now()));
+      metrics.count("relay.runners_in_reach");
       log.info(
           "runners_in_reach", event -> event.with("service", service).with("runner", runner.id()));
     }
@@ -241,6 +250,40 @@
                 .with("peers", peers.livePeers(now).size()));
   }
 
+  /** Returns whether this node cannot reach any runner of a service. */
+  boolean isOutOfReach(String service) {
+    ServiceReach reach = reachByService.get(service);
+    return reach != null && reach.isCutOff() && !runners.availableRunners(service).isEmpty();
+  }
+
+  /** Returns the services whose runners this node cannot reach. */
+  Set<String> servicesOutOfReach() {
+    return reachByService.keySet().stream().filter(this::isOutOfReach).collect(toSet());
+  }
+
+  /**
+   * Returns the runners to connect to, since they send nothing, or since others of their service
+   * could not be reached.
+   */
+  List<Runner> runnersToVerify() {
+    Instant now = now();
+    Set<String> ids = new HashSet<>();
+    reachByService.forEach(
+        (service, reach) -> {
+          List<String> available = new ArrayList<>(availableIds(service));
+          Collections.shuffle(available);
+          ids.addAll(reach.toVerify(available, now));
+        });
+    return runners.all().stream()
+        .filter(runner -> ids.contains(runner.id()) || runner.isSilent(now))
+        .toList();
+  }
+
+  /** Returns which peers serve requests while this node reaches no runner. */
+  ForwardTargets forwardTargets() {
+    return forwardTargets;
+  }
+
   private List<String> availableIds(String service) {
     return runners.availableRunners(service).stream().map(Runner::id).toList();
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -49,7 +49,7 @@
  * A caller's request in progress. Chooses a runner, forwards the request to it and relays the
  * response. After a failure it retries on another runner if the route and the retry budget allow.
  */
-final class RelayedRequest implements RequestQueue.Entry {
+final class RelayedRequest implements RequestQueue.Entry, ForwardedRequest.Owner {
 
   private static final Duration NO_CONFIGURATION_RETRY_AFTER = Duration.ofMillis(500);
   private static final Duration NO_RUNNER_RETRY_AFTER = Duration.ofMillis(400);
@@ -65,6 +65,9 @@
   /** Number of failed connections after which the request is refused. */
   private static final int MAX_UNREACHABLE_RUNNERS = 3;
 
+  /** Number of peers that may be asked to serve a request. */
+  private static final int MAX_PEERS = 2;
+
   /** Pause within a resumable stream after which another runner is asked to resume it. */
   private static final Duration STREAM_IDLE_TIMEOUT = Duration.ofMillis(1_200);
 
@@ -120,6 +123,12 @@
 
   private Optional<Attempt> currentAttempt = Optional.empty();
 
+  /** The request as served by a peer, while this node cannot reach any runner. */
+  private Optional<ForwardedRequest> forwardedRequest = Optional.empty();
+
+  private final Set<String> triedPeers = new HashSet<>();
+  private boolean isCounted;
+
   /** An attempt whose runner fell silent, kept until the current attempt replaces it. */
   private Optional<Attempt> silentAttempt = Optional.empty();
 
@@ -267,7 +276,6 @@
       return;
     }
     pool = foundPool.get();
-    state.retryBudget(service).recordRequest(state.now());
     dispatch();
   }
 
@@ -321,6 +329,10 @@
       failCrashingRequest(crashCause.get());
       return;
     }
+    if (forwardToPeer()) {
+      return;
+    }
+    countRequest(now);
     List<Runner> candidates = untriedRunners();
     Optional<Attempt> next = chooseRunner(candidates, now);
     if (next.isEmpty()) {
@@ -349,6 +361,115 @@
     connect(chosen);
   }
 
+  /** Counts the request once, at the node that sends it to a runner. */
+  private void countRequest(Instant now) {
+    if (!isCounted) {
+      isCounted = true;
+      state.retryBudget(pool.name()).recordRequest(now);
+    }
+  }
+
+  /**
+   * Has a peer serve the request if this node cannot reach any runner; returns false if it can, or
+   * if no peer can either.
+   */
+  private boolean forwardToPeer() {
+    if (caller.isPeer() || isResponseStarted || !state.isOutOfReach(pool.name())) {
+      return false;
+    }
+    Optional<PeerForwarder.Target> target =
+        triedPeers.size() >= MAX_PEERS
+            ? Optional.empty()
+            : server.forwarder().choose(pool.name(), id(), triedPeers);
+    if (target.isEmpty()) {
+      return false;
+    }
+    triedPeers.add(target.get().node());
+    isQueued = false;
+    state.metrics().count("relay.forwarded");
+    state
+        .log()
+        .info(
+            "request_forwarded",
+            event ->
+                event
+                    .with("request", id())
+                    .with("service", pool.name())
+                    .with("peer", target.get().node()));
+    var forwarded = new ForwardedRequest(server.forwarder(), target.get(), id(), this);
+    forwardedRequest = Optional.of(forwarded);
+    forwarded.start();
+    return true;
+  }
+
+  @Override
+  public DefaultHttpRequest forwardedHead() {
+    DefaultHttpRequest head = copyHead();
+    server.headerCodec().setTimeLeft(head.headers(), timeLeft(state.now()));
+    return head;
+  }
+
+  @Override
+  public ByteBuf forwardedBody() {
+    return body.retainedDuplicate();
+  }
+
+  @Override
+  public void onPeerNotReached(ForwardedRequest forwarded, String reason) {
+    forwardedRequest = Optional.empty();
+    logPeerFailure(forwarded, reason);
+    dispatch();
+  }
+
+  private void logPeerFailure(ForwardedRequest forwarded, String reason) {
+    state.metrics().count("relay.peer_failed");
+    state
+        .log()
+        .info(
+            "peer_failed",
+            event ->
+                event
+                    .with("request", id())
+                    .with("peer", forwarded.peer())
+                    .with("sent", forwarded.isSent())
+                    .with("detail", reason));
+  }
+
+  @Override
+  public void onPeerHeaders(HttpResponse response) {
+    writeHead(response, HttpUtil.isContentLengthSet(response));
+  }
+
+  @Override
+  public void onPeerContent(ByteBuf bytes) {
+    caller.writeContent(bytes.retain());
+    if (!caller.isWritable()) {
+      forwardedRequest.ifPresent(forwarded -> forwarded.pauseReading(true));
+    }
+  }
+
+  @Override
+  public void onPeerReadComplete() {
+    caller.flush();
+  }
+
+  @Override
+  public void onPeerComplete() {
+    finish();
+    caller.completeResponse();
+  }
+
+  /** A peer that fails may have had the request run. */
+  @Override
+  public void onPeerFailed(ForwardedRequest forwarded, String reason) {
+    forwardedRequest = Optional.empty();
+    mayHaveRun = true;
+    logPeerFailure(forwarded, reason);
+    if (isResponseStarted || !route.isRepeatable() || !retryOnAnotherRunner("peer_failed")) {
+      fail("peer_failed", "the node that served the request failed", RUNNER_FAILURE_RETRY_AFTER);
+    }
+  }
+
   private void connect(Attempt chosen) {
     currentAttempt = Optional.of(chosen);
     triedRunners.add(chosen.runner.id());
@@ -533,17 +654,9 @@
       return;
     }
     final Instant now = state.now();
-    var forwarded = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
+    DefaultHttpRequest forwarded = copyHead();
     HttpHeaders headers = forwarded.headers();
-    headers.add(request.headers());
-    HopByHopHeaders.removeFrom(headers);
     server.headerCodec().removeReservedHeaders(headers, configuration.hasOrganisations());
-    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-    if (body.isReadable() || HttpUtil.isContentLengthSet(request)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-    } else if (HttpUtil.isTransferEncodingChunked(request)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    }
     Optional<String> lastEventId = eventStream.lastId().or(requestHeaders::lastEventId);
     server
         .headerCodec()
@@ -563,6 +676,21 @@
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
   }
 
+  /** Returns the head of the request without what concerns the caller's connection only. */
+  private DefaultHttpRequest copyHead() {
+    var head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
+    HttpHeaders headers = head.headers();
+    headers.add(request.headers());
+    HopByHopHeaders.removeFrom(headers);
+    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    if (body.isReadable() || HttpUtil.isContentLengthSet(request)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    } else if (HttpUtil.isTransferEncodingChunked(request)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    }
+    return head;
+  }
+
   private void logResumption(Attempt chosen, String lastEventId) {
     state
         .log()
@@ -622,6 +750,9 @@
     if (resumeSilentAttempt()) {
       return;
     }
+    if (forwardToPeer()) {
+      return;
+    }
     if (unreachableRunners >= MAX_UNREACHABLE_RUNNERS) {
       fail("runners_unreached", "no runner could be reached", NO_RUNNER_RETRY_AFTER);
       return;
@@ -749,6 +880,7 @@
     currentAttempt.ifPresent(Attempt::cancel);
     currentAttempt = Optional.empty();
     cancelSilentAttempt();
+    forwardedRequest.ifPresent(ForwardedRequest::cancel);
     body.release();
     server.requestFinished(this);
   }
@@ -764,13 +896,15 @@
   /** Returns whether reading the response is paused, since the caller takes it too slowly. */
   boolean isReadingPaused() {
     return currentAttempt
-        .flatMap(current -> current.connection)
-        .filter(RunnerConnection::isReadingPaused)
-        .isPresent();
+            .flatMap(current -> current.connection)
+            .filter(RunnerConnection::isReadingPaused)
+            .isPresent()
+        || forwardedRequest.filter(ForwardedRequest::isReadingPaused).isPresent();
   }
 
   void onCallerWritabilityChanged(boolean isWritable) {
     currentAttempt.ifPresent(current -> current.pauseReading(!isWritable));
+    forwardedRequest.ifPresent(forwarded -> forwarded.pauseReading(!isWritable));
   }
 
   /** Enforces the deadline, and retries on another runner if the present one stopped responding. */
@@ -874,13 +1008,27 @@
     }
   }
 
+  private void writeHead(HttpResponse response, boolean isLengthKnown) {
+    var forwarded = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
+    forwarded.headers().add(response.headers());
+    HopByHopHeaders.removeFrom(forwarded.headers());
+    if (!isLengthKnown) {
+      forwarded.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+      HttpUtil.setTransferEncodingChunked(forwarded, true);
+    }
+    isResponseStarted = true;
+    caller.writeHeaders(forwarded);
+  }
+
   /** Returns whether a response that has started can be continued by another runner. */
   private boolean isResumable() {
     return isEventStream && route.isResumable();
   }
 
   private void onTimeout() {
-    boolean isSent = currentAttempt.filter(current -> current.connection.isPresent()).isPresent();
+    boolean isSent =
+        currentAttempt.filter(current -> current.connection.isPresent()).isPresent()
+            || forwardedRequest.filter(ForwardedRequest::isSent).isPresent();
     currentAttempt.ifPresent(current -> logAttempt("timed_out", current, "deadline exceeded"));
     mayHaveRun |= isSent;
     if (isResponseStarted) {
@@ -1186,15 +1334,7 @@
 
     private void writeResponseHeaders(HttpResponse response) {
       isEventStream = isEventStream(response);
-      var forwarded = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
-      forwarded.headers().add(response.headers());
-      HopByHopHeaders.removeFrom(forwarded.headers());
-      if (isResumable() || !HttpUtil.isContentLengthSet(response)) {
-        forwarded.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-        HttpUtil.setTransferEncodingChunked(forwarded, true);
-      }
-      isResponseStarted = true;
-      caller.writeHeaders(forwarded);
+      writeHead(response, !isResumable() && HttpUtil.isContentLengthSet(response));
     }
 
     @Override
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -83,6 +83,7 @@
             Map.of(
                 "7f3a", new StreamOrigin("s", "v1.2", "granja"), "", new StreamOrigin("", "", "")))
       },
+      {new PeerDatagram.OutOfReach("front-1", Set.of("s", "t"))},
       {new PeerDatagram.StreamQuery("front-1", "7f3a")},
       {new PeerDatagram.StreamUnknown("front-1", "7f3a")},
     };
