Count a node as cut off from a service while it reaches fewer runners than it does not

Six failures in a row are the wrong measure for few runners. Now the latest result of each runner counts, and the majority decides; with many runners six failures are still enough, if no more succeed.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -209,54 +209,39 @@
     runners.all().stream()
         .filter(runner -> runner.info().endpoint().equals(endpoint))
         .toList()
-        .forEach(
-            runner -> {
-              if (isConnected) {
-                onRunnerConnected(runner);
-              } else {
-                onRunnerNotConnected(runner);
-              }
-            });
-  }
-
-  private void onRunnerConnected(Runner runner) {
-    String service = runner.info().service();
-    if (reach(service).recordConnected()) {
-      runners.availableRunners(service).forEach(other -> other.probeNow(now()));
-      metrics.count("relay.runners_in_reach");
-      log.info(
-          "runners_in_reach", event -> event.with("service", service).with("runner", runner.id()));
-    }
+        .forEach(runner -> recordConnectAttempt(runner, isConnected));
   }
 
-  private void onRunnerNotConnected(Runner runner) {
+  private void recordConnectAttempt(Runner runner, boolean isConnected) {
     String service = runner.info().service();
+    ServiceReach reach = reachByService.computeIfAbsent(service, any -> new ServiceReach());
     Instant now = now();
-    if (!reach(service).recordFailed(runner.id(), availableIds(service), now)) {
+    if (!reach.record(runner.id(), isConnected, availableIds(service), now)) {
       return;
     }
-    metrics.count("relay.runners_out_of_reach");
+    if (!reach.isCutOff()) {
+      runners.availableRunners(service).forEach(other -> other.probeNow(now));
+    }
     Map<String, Long> failures = new TreeMap<>();
-    reach(service)
-        .failures()
-        .forEach((id, at) -> failures.put(id, Duration.between(at, now).toMillis()));
+    reach.failures().forEach((id, at) -> failures.put(id, Duration.between(at, now).toMillis()));
+    String event = reach.isCutOff() ? "runners_out_of_reach" : "runners_in_reach";
+    metrics.count("relay." + event);
     log.info(
-        "runners_out_of_reach",
-        event ->
-            event
-                .with("service", service)
+        event,
+        line ->
+            line.with("service", service)
                 .with("failed_ms_ago", failures)
                 .with("available", availableIds(service).size())
                 .with("peers", peers.livePeers(now).size()));
   }
 
-  /** Returns whether this node cannot reach any runner of a service. */
+  /** Returns whether this node cannot reach most runners of a service. */
   boolean isOutOfReach(String service) {
     ServiceReach reach = reachByService.get(service);
     return reach != null && reach.isCutOff() && !runners.availableRunners(service).isEmpty();
   }
 
-  /** Returns the services whose runners this node cannot reach. */
+  /** Returns the services of which this node cannot reach most runners. */
   Set<String> servicesOutOfReach() {
     return reachByService.keySet().stream().filter(this::isOutOfReach).collect(toSet());
   }
