Let streams of unknown origin go on once one version has served for as long as a stream may last

One and a half times the timeout of the route is enough for a stream to have ended. SoftwareVersionTest.takesUpUnknownStreamsWhileThereIsOneVersion, with that time, failed before. The refusal names the attempt that the caller named.

--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
@@ -135,12 +135,15 @@
   }
 
   /**
-   * Returns the software version of a service if it has been the only one for {@link
-   * SoftwareVersions#HISTORY}.
+   * Returns the software version of a service if it has been the only one for some time.
+   *
+   * @param service name of the service
+   * @param time the time, at most 10 minutes
+   * @param now present time
    */
-  public Optional<String> soleSoftwareVersion(String service, Instant now) {
+  public Optional<String> soleSoftwareVersion(String service, Duration time, Instant now) {
     return softwareVersions.sole(
-        service, runners.values().stream().map(Runner::info).toList(), now);
+        service, time, runners.values().stream().map(Runner::info).toList(), now);
   }
 
   /** Returns the runner with an id. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/SoftwareVersions.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/SoftwareVersions.java
@@ -15,8 +15,8 @@
  */
 final class SoftwareVersions {
 
-  /** Time for which a version counts after its last runner has gone, as for streams begun there. */
-  static final Duration HISTORY = StreamOrigins.RETENTION;
+  /** Time for which a version is remembered after a runner that had it has gone. */
+  static final Duration MEMORY = Duration.ofMinutes(10);
 
   private final Map<ServiceVersion, Instant> goneAt = new HashMap<>();
   private Optional<Instant> firstListedAt = Optional.empty();
@@ -30,20 +30,21 @@
 
   /** Records that a process is no longer listed. */
   void recordGone(RunnerInfo info, Instant now) {
-    goneAt.values().removeIf(at -> at.isBefore(now.minus(HISTORY)));
+    goneAt.values().removeIf(at -> at.isBefore(now.minus(MEMORY)));
     goneAt.put(new ServiceVersion(info.service(), info.softwareVersion()), now);
   }
 
   /**
-   * Returns the version of a service if all its runners have had the same since {@link #HISTORY}.
+   * Returns the version of a service if all its runners have had the same for some time.
    *
    * @param service name of the service
+   * @param time the time, at most {@link #MEMORY}
    * @param listed the runners that are listed now
    * @param now present time
    */
-  Optional<String> sole(String service, Collection<RunnerInfo> listed, Instant now) {
-    Instant since = now.minus(HISTORY);
-    if (firstListedAt.filter(at -> !at.isAfter(since)).isEmpty()) {
+  Optional<String> sole(String service, Duration time, Collection<RunnerInfo> listed, Instant now) {
+    Instant since = now.minus(time);
+    if (time.compareTo(MEMORY) > 0 || firstListedAt.filter(at -> !at.isAfter(since)).isEmpty()) {
       return Optional.empty();
     }
     Set<Optional<String>> versions = new HashSet<>();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -287,9 +287,9 @@
     return runners.softwareVersion(runner, isLogReachable, now());
   }
 
-  /** Returns the software version of a service if it has been the only one for long enough. */
-  Optional<String> soleSoftwareVersion(String service) {
-    return isLogReachable ? runners.soleSoftwareVersion(service, now()) : Optional.empty();
+  /** Returns the software version of a service if it has been the only one for some time. */
+  Optional<String> soleSoftwareVersion(String service, Duration time) {
+    return isLogReachable ? runners.soleSoftwareVersion(service, time, now()) : Optional.empty();
   }
 
   /** Returns whether the log service is reachable. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -227,7 +227,7 @@
             requestHeaders.lastEventId().isPresent(),
             known.map(StreamOrigins.Known::origin),
             state
-                .soleSoftwareVersion(splitService)
+                .soleSoftwareVersion(splitService, maxStreamAge())
                 .map(version -> new StreamOrigin(splitService, version, organisationName())),
             organisationName(),
             route.shares().stream().map(Route.Share::service).toList());
@@ -242,10 +242,18 @@
         startAt(goOn.origin().service());
       }
       case StreamContinuation.Refused refused ->
-          refuseUnavailable("stream_not_resumed", refused.reason(), NO_RUNNER_RETRY_AFTER);
+          refuseUnavailable(
+              "stream_not_resumed",
+              refused.reason() + ", begun by " + (firstAttempt.equals(id()) ? "?" : firstAttempt),
+              NO_RUNNER_RETRY_AFTER);
     }
   }
 
+  /** Returns the age up to which a stream may still be taken up, with a margin for long waits. */
+  private Duration maxStreamAge() {
+    return route.timeout().multipliedBy(3).dividedBy(2);
+  }
+
   private void logStreamTakenUp(StreamOrigin origin, Optional<StreamOrigins.Known> known) {
     state.metrics().count("relay.streams_taken_up");
     state
