Take no lease on orders while the runners are out of reach

A node that is cut off from the runners could hold the lease on orders and renew it, while its orders went unanswered and no other node gave any. WeightsControllerTest.takesNoLeaseWhileRunnersAreOutOfReach failed before.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -124,7 +124,7 @@
     // A draining runner gets no orders, but its running requests may still read old parts.
     inUse.observe(state.runners().all(), now);
     freeReplacedParts(now);
-    if (outdated.isEmpty() || state.isStopping()) {
+    if (outdated.isEmpty() || state.isStopping() || isOutOfReach(outdated)) {
       outdatedSince = Instant.MAX;
       rollout.clear();
     } else {
@@ -139,6 +139,11 @@
     }
   }
 
+  /** Returns whether orders to some of the runners would not arrive, but another node's may. */
+  private boolean isOutOfReach(List<WeightsRollout.OutdatedRunner> outdated) {
+    return outdated.stream().anyMatch(each -> state.isOutOfReach(each.runner().info().service()));
+  }
+
   /**
    * Frees parts of replaced weights in managed stores once no runner can read them any more. Only
    * the last holder of the lease does so, which keeps several nodes from freeing the same parts,
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -134,6 +134,30 @@
     assertEquals(orders.freed, List.of(new PartDirectory.Key("m@1", "old")));
   }
 
+  private void recordConnectAttempts(boolean areConnected) throws Exception {
+    onLoop(
+        () -> {
+          state.runners().all().stream()
+              .map(runner -> runner.info().endpoint())
+              .toList()
+              .forEach(endpoint -> state.recordConnectAttempt(endpoint, areConnected));
+          return null;
+        });
+  }
+
+  /** A node that reaches no runner must leave the orders to one that does. */
+  @Test
+  public void takesNoLeaseWhileRunnersAreOutOfReach() throws Exception {
+    recordConnectAttempts(false);
+    startController("me");
+    await()
+        .during(Duration.ofSeconds(3))
+        .atMost(Duration.ofSeconds(5))
+        .until(() -> orders.changed.isEmpty() && onLoop(() -> log.holder.isEmpty()));
+    recordConnectAttempts(true);
+    await().atMost(Duration.ofSeconds(8)).until(() -> orders.changed.size() == RUNNERS);
+  }
+
   /**
    * Guards against a lease holder that cannot reach the log and so does not learn of newer weights:
    * it knew version 2 as the newest and freed parts of version 3. Found by a randomised run of the
