Tell no caller that a request has not run because a peer refused it

A request whose runner broke off its answer, and which a peer then refused, was answered with the peer's 503, which promises that it has not run. Found by reading; a fault of the forwarding to peers. The node now answers 502 where it has sent the request to a runner itself. CutOffNodeTest.relaysNoRefusalOfRequestsThatMayHaveRun failed before (503).

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -92,6 +92,14 @@
   /** Time after sending within which fetches must end, since the parts may be freed afterwards. */
   private static final Duration MAX_FETCH_TIME = Duration.ofMillis(2_000);
 
+  /** Statuses that promise, by the platform specification, that the request has not run. */
+  private static final Set<Integer> NOT_RUN_STATUSES =
+      Set.of(
+          HttpResponseStatus.REQUEST_TIMEOUT.code(),
+          HttpResponseStatus.MISDIRECTED_REQUEST.code(),
+          HttpResponseStatus.TOO_MANY_REQUESTS.code(),
+          HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+
   private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(30);
 
   private final RelayServer server;
@@ -445,6 +453,10 @@
 
   @Override
   public void onPeerHeaders(HttpResponse response) {
+    if (mayHaveRun && NOT_RUN_STATUSES.contains(response.status().code())) {
+      fail("peer_refused", "the peer refused the request", RUNNER_FAILURE_RETRY_AFTER);
+      return;
+    }
     writeHead(response, HttpUtil.isContentLengthSet(response));
   }
 
