--- a/review/harness/StoreCopyLease.java
+++ b/review/harness/StoreCopyLease.java
@@ -26,11 +26,13 @@
       runners[i].start();
       fleet.list(runners[i].id, runners[i]::entry);
     }
-    fleet.startNodes(4);
+    // The four machines of the site and its three spare ones, which have been added.
+    fleet.startNodes(7);
     Fleet.sleep(4_000);
 
     Map<String, List<byte[]>> copy = fleet.store.copy();
     final long copiedAt = journal.millis();
+    Fleet.sleep(1_500);
     journal.say("operator: names version 2");
     fleet.store.put("keyed.op", "version/m", weights(2));
     if (!Fleet.await(6_000, () -> areAt(runners, 2))) {
