Read the newest records again after the log was restored from a copy

Cause: a follower goes on at its offset. Offsets are given out again after a restore; if as many records were written again as had been lost, the next read finds nothing and no error. Nothing read Store-Era, the header that numbers the epochs of the log.

Now each response of the log service tells its epoch. What peers report of a topic counts in its own epoch only. A report names the epoch with the topic, from the second epoch on: nodes of the release before do not know such a topic and read it themselves; in the first epoch the bytes are as they were.

--- a/core/src/main/java/org/dragonflyhill/core/relay/SharedTopic.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/SharedTopic.java
@@ -33,6 +33,7 @@
 
   private final String topic;
   private final Deque<Repeated> repeated = new ArrayDeque<>();
+  private long epoch;
   private long from;
   private long through;
   private Instant readAt = Instant.MIN;
@@ -63,21 +64,31 @@
   }
 
   /**
-   * Records that this node has read the topic.
+   * Records that this node has read the topic. In a new epoch of the log, nothing that was read or
+   * reported before counts.
    *
+   * @param readEpoch epoch of the log
    * @param readFrom offset from which it has read
    * @param readThrough offset behind the last record
    * @param changing the records that change something, empty if they are not to be passed on
    * @param now present time
    */
   public void recordRead(
-      long readFrom, long readThrough, Optional<List<TopicProgress.Entry>> changing, Instant now) {
-    boolean hasGap = readFrom != through;
+      long readEpoch,
+      long readFrom,
+      long readThrough,
+      Optional<List<TopicProgress.Entry>> changing,
+      Instant now) {
+    if (readEpoch != epoch) {
+      confirmedAt = Instant.MIN;
+    }
+    boolean hasGap = readEpoch != epoch || readFrom != through;
     boolean hasUnsharedRecords = changing.isEmpty() && readThrough > readFrom;
     if (hasGap || hasUnsharedRecords) {
       repeated.clear();
       from = hasUnsharedRecords ? readThrough : readFrom;
     }
+    epoch = readEpoch;
     through = readThrough;
     readAt = now;
     changing.ifPresent(list -> list.forEach(entry -> repeated.add(new Repeated(entry, now))));
@@ -95,6 +106,7 @@
     return Optional.of(
         new TopicProgress(
             topic,
+            epoch,
             from,
             through,
             Duration.between(readAt, now),
@@ -104,24 +116,28 @@
   /**
    * Handles the progress of a reader. Returns the records that this node has to apply, after which
    * it knows the topic up to the reader's offset, or empty if it has to read the topic itself since
-   * the report does not reach back to what it knows.
+   * the report does not reach back to what it knows, or is of a newer epoch. A report of an older
+   * epoch says nothing.
    *
    * @param progress the report
-   * @param next offset of the next record that this node needs
+   * @param next position of the next record that this node needs
    * @param now present time
    */
   public Optional<List<TopicProgress.Entry>> accept(
-      TopicProgress progress, long next, Instant now) {
-    if (progress.from() > next) {
+      TopicProgress progress, LogPosition next, Instant now) {
+    if (progress.epoch() < next.epoch()) {
+      return Optional.of(List.of());
+    }
+    if (progress.epoch() > next.epoch() || progress.from() > next.offset()) {
       confirmedAt = Instant.MIN;
       return Optional.empty();
     }
-    if (progress.through() >= next) {
+    if (progress.through() >= next.offset()) {
       Instant at = now.minus(progress.age());
       confirmedAt = at.isAfter(confirmedAt) ? at : confirmedAt;
     }
     return Optional.of(
-        progress.records().stream().filter(entry -> entry.offset() >= next).toList());
+        progress.records().stream().filter(entry -> entry.offset() >= next.offset()).toList());
   }
 
   /** Returns until when this node may rely on the readers, empty if it must read itself now. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/TopicProgress.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/TopicProgress.java
@@ -9,13 +9,14 @@
  * null.
  *
  * @param topic name of the topic
+ * @param epoch epoch of the log in which the node has read it; offsets of other epochs differ
  * @param from offset from which on the listed records are all that matter
  * @param through offset behind the last record that the node has read
  * @param age time since the node learned that the topic ends there
  * @param records the records between the two offsets that change something, in order
  */
 public record TopicProgress(
-    String topic, long from, long through, Duration age, List<Entry> records) {
+    String topic, long epoch, long from, long through, Duration age, List<Entry> records) {
 
   /** Creates a progress with a copy of the records. */
   public TopicProgress {
--- a/core/src/test/java/org/dragonflyhill/core/relay/SharedTopicTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/SharedTopicTest.java
@@ -18,6 +18,10 @@
     return new TopicProgress.Entry(offset, "k" + offset, new byte[] {1});
   }
 
+  private static LogPosition at(long offset) {
+    return new LogPosition(0, offset);
+  }
+
   private static TopicProgress progress(SharedTopic reader, Instant now) {
     return reader.progress(now).orElseThrow();
   }
@@ -27,12 +31,12 @@
   public void passesOnWhatChanges() {
     SharedTopic reader = new SharedTopic("t");
     SharedTopic other = new SharedTopic("t");
-    reader.recordRead(0, 10, Optional.of(List.of()), NOW);
-    reader.recordRead(10, 20, Optional.of(List.of(entry(12), entry(15))), NOW);
+    reader.recordRead(0, 0, 10, Optional.of(List.of()), NOW);
+    reader.recordRead(0, 10, 20, Optional.of(List.of(entry(12), entry(15))), NOW);
     var report = progress(reader, NOW.plusMillis(100));
-    assertEquals(other.accept(report, 10, NOW).orElseThrow(), List.of(entry(12), entry(15)));
-    assertEquals(other.accept(report, 13, NOW).orElseThrow(), List.of(entry(15)));
-    assertEquals(other.accept(report, 20, NOW).orElseThrow(), List.of());
+    assertEquals(other.accept(report, at(10), NOW).orElseThrow(), List.of(entry(12), entry(15)));
+    assertEquals(other.accept(report, at(13), NOW).orElseThrow(), List.of(entry(15)));
+    assertEquals(other.accept(report, at(20), NOW).orElseThrow(), List.of());
   }
 
   /** A node that misses records which are not reported any more reads at once. */
@@ -40,10 +44,10 @@
   public void gapMakesNodeReadAtOnce() {
     SharedTopic reader = new SharedTopic("t");
     SharedTopic other = new SharedTopic("t");
-    reader.recordRead(50, 60, Optional.of(List.of()), NOW);
-    assertTrue(other.accept(progress(reader, NOW), 60, NOW).isPresent());
+    reader.recordRead(0, 50, 60, Optional.of(List.of()), NOW);
+    assertTrue(other.accept(progress(reader, NOW), at(60), NOW).isPresent());
     assertTrue(other.relyUntil(NOW).isPresent());
-    assertEquals(other.accept(progress(reader, NOW), 40, NOW), Optional.empty());
+    assertEquals(other.accept(progress(reader, NOW), at(40), NOW), Optional.empty());
     assertEquals(other.relyUntil(NOW), Optional.empty());
   }
 
@@ -52,11 +56,11 @@
   public void unsharedRecordsMakeOthersRead() {
     SharedTopic reader = new SharedTopic("t");
     SharedTopic other = new SharedTopic("t");
-    reader.recordRead(0, 5, Optional.empty(), NOW);
-    reader.recordRead(5, 5, Optional.empty(), NOW);
-    assertTrue(other.accept(progress(reader, NOW), 5, NOW).isPresent());
-    reader.recordRead(5, 6, Optional.empty(), NOW);
-    assertEquals(other.accept(progress(reader, NOW), 5, NOW), Optional.empty());
+    reader.recordRead(0, 0, 5, Optional.empty(), NOW);
+    reader.recordRead(0, 5, 5, Optional.empty(), NOW);
+    assertTrue(other.accept(progress(reader, NOW), at(5), NOW).isPresent());
+    reader.recordRead(0, 5, 6, Optional.empty(), NOW);
+    assertEquals(other.accept(progress(reader, NOW), at(5), NOW), Optional.empty());
   }
 
   /** The newest few changes are reported, each for a limited time. */
@@ -67,12 +71,12 @@
     for (int i = 0; i < 47; i++) {
       entries.add(entry(i));
     }
-    reader.recordRead(0, 47, Optional.of(entries), NOW);
+    reader.recordRead(0, 0, 47, Optional.of(entries), NOW);
     var report = progress(reader, NOW);
     assertEquals(report.records().size(), SharedTopic.MAX_RECORDS);
     assertEquals(report.from(), 47 - SharedTopic.MAX_RECORDS);
     Instant later = NOW.plus(SharedTopic.REPEAT_TIME).plusMillis(1);
-    reader.recordRead(47, 47, Optional.of(List.of()), later);
+    reader.recordRead(0, 47, 47, Optional.of(List.of()), later);
     assertEquals(progress(reader, later).records(), List.of());
     assertEquals(progress(reader, later).from(), 47);
   }
@@ -81,8 +85,8 @@
   @Test
   public void readerReportsOnlyWhatItRead() {
     SharedTopic reader = new SharedTopic("t");
-    reader.recordRead(0, 5, Optional.of(List.of(entry(3))), NOW);
-    reader.recordRead(9, 12, Optional.of(List.of(entry(10))), NOW.plusSeconds(2));
+    reader.recordRead(0, 0, 5, Optional.of(List.of(entry(3))), NOW);
+    reader.recordRead(0, 9, 12, Optional.of(List.of(entry(10))), NOW.plusSeconds(2));
     var report = progress(reader, NOW.plusSeconds(2));
     assertEquals(report.from(), 9);
     assertEquals(report.records(), List.of(entry(10)));
@@ -93,9 +97,9 @@
   public void silentReaderIsReliedOnBriefly() {
     SharedTopic reader = new SharedTopic("t");
     SharedTopic other = new SharedTopic("t");
-    reader.recordRead(0, 5, Optional.of(List.of()), NOW);
+    reader.recordRead(0, 0, 5, Optional.of(List.of()), NOW);
     Instant heardAt = NOW.plusMillis(300);
-    other.accept(progress(reader, heardAt), 5, heardAt);
+    other.accept(progress(reader, heardAt), at(5), heardAt);
     assertEquals(other.relyUntil(heardAt), Optional.of(NOW.plus(SharedTopic.MAX_AGE)));
     assertEquals(other.relyUntil(NOW.plus(SharedTopic.MAX_AGE)), Optional.empty());
     assertEquals(reader.progress(NOW.plus(SharedTopic.MAX_AGE).plusMillis(1)), Optional.empty());
@@ -106,8 +110,8 @@
   public void readerBehindConfirmsNothing() {
     SharedTopic reader = new SharedTopic("t");
     SharedTopic other = new SharedTopic("t");
-    reader.recordRead(0, 5, Optional.of(List.of()), NOW);
-    assertEquals(other.accept(progress(reader, NOW), 9, NOW), Optional.of(List.of()));
+    reader.recordRead(0, 0, 5, Optional.of(List.of()), NOW);
+    assertEquals(other.accept(progress(reader, NOW), at(9), NOW), Optional.of(List.of()));
     assertEquals(other.relyUntil(NOW), Optional.empty());
   }
 
@@ -131,4 +135,38 @@
     }
     assertTrue(new SharedTopic("t").isReader("alone", List.of()));
   }
+
+  /**
+   * Guards against records missed after a restore of the log (review case 5): offsets are given out
+   * again, so that a report of another epoch must neither confirm nor bring anything.
+   */
+  @Test
+  public void reportsOfAnotherEpochAreNotReliedOn() {
+    SharedTopic reader = new SharedTopic("t");
+    SharedTopic other = new SharedTopic("t");
+    reader.recordRead(0, 0, 5, Optional.of(List.of(entry(4))), NOW);
+    var before = progress(reader, NOW);
+    reader.recordRead(1, 0, 5, Optional.of(List.of(entry(4))), NOW);
+    var after = progress(reader, NOW);
+    assertEquals(other.accept(after, at(4), NOW), Optional.empty(), "newer epoch");
+    assertEquals(other.relyUntil(NOW), Optional.empty());
+    var restored = new LogPosition(1, 4);
+    assertEquals(other.accept(before, restored, NOW), Optional.of(List.of()), "older epoch");
+    assertEquals(other.relyUntil(NOW), Optional.empty());
+    assertEquals(other.accept(after, restored, NOW), Optional.of(List.of(entry(4))));
+    assertTrue(other.relyUntil(NOW).isPresent());
+  }
+
+  /** What peers confirmed of the log before a restore ends with it, also at the same offset. */
+  @Test
+  public void readInNewEpochForgetsWhatPeersConfirmed() {
+    SharedTopic reader = new SharedTopic("t");
+    SharedTopic other = new SharedTopic("t");
+    reader.recordRead(0, 0, 5, Optional.of(List.of(entry(4))), NOW);
+    other.accept(progress(reader, NOW), at(5), NOW);
+    other.recordRead(1, 5, 5, Optional.of(List.of()), NOW);
+    assertEquals(other.relyUntil(NOW), Optional.empty());
+    reader.recordRead(1, 5, 6, Optional.of(List.of()), NOW);
+    assertEquals(progress(reader, NOW).records(), List.of(), "records of the epoch before");
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -152,9 +153,10 @@
    * A response.
    *
    * @param status HTTP status code
+   * @param headers the header fields
    * @param body the body
    */
-  public record Response(int status, byte[] body) {}
+  public record Response(int status, HttpHeaders headers, byte[] body) {}
 
   /**
    * Why a request has no response.
@@ -235,7 +237,8 @@
         channel.close();
       }
       byte[] body = ByteBufUtil.getBytes(response.content());
-      done.get().accept(Either.right(new Response(response.status().code(), body)));
+      done.get()
+          .accept(Either.right(new Response(response.status().code(), response.headers(), body)));
     }
 
     private void fail(String reason) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerDatagramCodec.java
@@ -51,6 +51,9 @@
   /** Number of tokens that stands for an expected part. */
   private static final int EXPECTED = -2;
 
+  /** Separates the name of a topic from the epoch of the log. */
+  private static final char EPOCH_SEPARATOR = '@';
+
   /** Maximum length of a record's value, which a datagram cannot exceed. */
   private static final int MAX_RECORD_BYTES = 65_536;
 
@@ -363,7 +366,7 @@
   }
 
   private static void packTopic(TopicProgress progress, MessagePacker packer) throws IOException {
-    packer.packString(progress.topic()).packLong(progress.from()).packLong(progress.through());
+    packer.packString(topicName(progress)).packLong(progress.from()).packLong(progress.through());
     packer.packLong(progress.age().toMillis()).packArrayHeader(progress.records().size());
     for (TopicProgress.Entry entry : progress.records()) {
       packer.packLong(entry.offset()).packString(entry.key());
@@ -371,8 +374,29 @@
     }
   }
 
+  /**
+   * Returns the name under which the progress of a topic is encoded. It names the epoch, except for
+   * the first one, so that releases that know no epochs do not rely on progress of a later epoch.
+   */
+  private static String topicName(TopicProgress progress) {
+    return progress.epoch() == 0
+        ? progress.topic()
+        : progress.topic() + EPOCH_SEPARATOR + progress.epoch();
+  }
+
+  private static long parseEpoch(String name, int separator) throws IOException {
+    try {
+      return separator < 0 ? 0 : Long.parseLong(name.substring(separator + 1));
+    } catch (NumberFormatException e) {
+      throw new IOException("epoch of topic " + name, e);
+    }
+  }
+
   private static TopicProgress unpackTopic(MessageUnpacker unpacker) throws IOException {
-    final String topic = unpacker.unpackString();
+    final String name = unpacker.unpackString();
+    final int separator = name.lastIndexOf(EPOCH_SEPARATOR);
+    final String topic = separator < 0 ? name : name.substring(0, separator);
+    final long epoch = parseEpoch(name, separator);
     final long from = unpacker.unpackLong();
     final long through = unpacker.unpackLong();
     final Duration age = Duration.ofMillis(unpacker.unpackLong());
@@ -386,7 +410,7 @@
       }
       records.add(new TopicProgress.Entry(offset, key, unpacker.readPayload(length)));
     }
-    return new TopicProgress(topic, from, through, age, records);
+    return new TopicProgress(topic, epoch, from, through, age, records);
   }
 
   /** Packs changes with a table of holders and one of salts, since both recur in most changes. */
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -27,6 +27,7 @@
 public final class PeerDatagramCodecTest {
 
   private static final int FRAME_BYTES = 1_200;
+  private static final Duration AGE = Duration.ofMillis(30);
   private static final Endpoint RUNNER = new Endpoint("10.0.0.1", 8_080);
   private static final List<PartChange> CHANGES =
       List.of(
@@ -53,10 +54,12 @@
           List.of(
               new TopicProgress(
                   "t",
+                  0,
                   4,
                   9,
                   Duration.ofMillis(30),
-                  List.of(new TopicProgress.Entry(5, "k", new byte[] {1, 2})))),
+                  List.of(new TopicProgress.Entry(5, "k", new byte[] {1, 2}))),
+              new TopicProgress("keyed.op", 3, 4, 9, Duration.ofMillis(30), List.of())),
           OptionalLong.of(123_456),
           new CrashReport(
               Map.of("m/bad0", Map.of("i-1@17", Duration.ofMillis(40))),
@@ -139,4 +142,44 @@
       PeerDatagramCodec.decode(bytes);
     }
   }
+
+  /**
+   * Nodes of the release before know no epochs: they must read what nodes report of the first epoch
+   * and must not rely on what they report of a later one. That release reads the name of the topic
+   * as the whole text, and ignores topics that it does not know.
+   */
+  @Test
+  public void namesEpochWhereReleasesBeforeIgnoreIt() {
+    for (long epoch : new long[] {0, 2}) {
+      String name = epoch == 0 ? "keyed.op" : "keyed.op@2";
+      PeerReport report = reportOf(new TopicProgress("keyed.op", epoch, 4, 9, AGE, List.of()));
+      byte[] encoded = PeerDatagramCodec.encode(new PeerDatagram.Report(report));
+      PeerReport asBefore = reportOf(new TopicProgress(name, 0, 4, 9, AGE, List.of()));
+      assertEquals(encoded, PeerDatagramCodec.encode(new PeerDatagram.Report(asBefore)));
+      assertEquals(
+          PeerDatagramCodec.decode(encoded).get(), new PeerDatagram.Report(report), "read back");
+    }
+  }
+
+  private static PeerReport reportOf(TopicProgress progress) {
+    return new PeerReport(
+        REPORT.node(),
+        REPORT.zone(),
+        REPORT.incarnation(),
+        REPORT.sequence(),
+        REPORT.isLogReachable(),
+        REPORT.isStopping(),
+        Map.of(),
+        Set.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        0,
+        List.of(progress),
+        OptionalLong.empty(),
+        CrashReport.EMPTY,
+        Map.of(),
+        Map.of());
+  }
 }
