Give orders under a higher fencing token after the log was restored

Cause: the fencing token was the offset of the lease record, and offsets are given out again after a restore. Besides, where the copy names no holder, a node took the lease at once although the holder that the copy lacks might still act, and a copy that had grown to the same length under another holder looked unchanged.

Now a token is the epoch of the log in its high bits and the offset in the low 32, so it is higher in each later epoch, whatever the offset. A lease ends with its epoch. The node whose lease is valid when it learns of the restore takes it again at once. A record that was sent before the restore and arrives after it grants nothing, and no record is appended at an offset of an older epoch.

--- a/core/src/test/java/org/dragonflyhill/core/relay/LogEpochsTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/LogEpochsTest.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.core.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.Test;
 
@@ -40,4 +41,18 @@
     assertEquals(fromZero.observe(1), LogEpochs.Change.RESTORED);
     assertEquals(fromZero.newest(), 1);
   }
+
+  /** Fencing tokens rise with each epoch and stay exact as JSON numbers. */
+  @Test
+  public void tokensRiseWithEpochsAndStayExact() {
+    long last = new LogPosition(0, 4_000_000_000L).fencingToken();
+    for (long epoch = 1; epoch < 5; epoch++) {
+      long token = new LogPosition(epoch, 0).fencingToken();
+      assertTrue(token > last, token + " in epoch " + epoch);
+      last = new LogPosition(epoch, 4_000_000_000L).fencingToken();
+    }
+    long highest = new LogPosition(LogPosition.MAX_EPOCH, 4_000_000_000L).fencingToken();
+    assertEquals((long) (double) highest, highest);
+    assertTrue(highest < 1L << 53, "token " + highest);
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -7,9 +7,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 import org.dragonflyhill.core.relay.LeaderLease;
+import org.dragonflyhill.core.relay.LogPosition;
 import org.dragonflyhill.core.relay.PartDirectory;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.Service;
@@ -104,7 +106,7 @@
     log.follow(
         tail -> {
           boolean wasHeld = lease.held(state.now()).isPresent();
-          lease.observeLog(tail.endOffset(), tail.holder(), state.now());
+          lease.observeLog(tail.end(), tail.holder(), state.now());
           if (wasHeld && lease.held(state.now()).isEmpty()) {
             state.log().info("duty_lost", event -> event.with("to", tail.holder().orElse("")));
           }
@@ -246,10 +248,12 @@
       return;
     }
     isAppending = true;
-    log.append(lease.nextOffset(), holder, result -> onAppended(now, result));
+    LogPosition expectedEnd = lease.logEnd();
+    log.append(expectedEnd, holder, result -> onAppended(expectedEnd, now, result));
   }
 
-  private void onAppended(Instant sentAt, Either<String, LeaseLog.Outcome> result) {
+  private void onAppended(
+      LogPosition expectedEnd, Instant sentAt, Either<String, LeaseLog.Outcome> result) {
     isAppending = false;
     if (result.isLeft()) {
       // The record may be in the log nevertheless; if so, it arrives through the follower.
@@ -257,17 +261,34 @@
       return;
     }
     switch (result.get()) {
-      case LeaseLog.Outcome.Appended appended -> {
-        boolean isNew = lease.held(state.now()).isEmpty();
-        lease.confirmAppend(appended.offset(), sentAt, state.now());
-        if (isNew) {
-          state.log().info("duty_taken", event -> event.with("token", appended.offset()));
-        }
-      }
+      case LeaseLog.Outcome.Appended appended ->
+          onAppended(expectedEnd, sentAt, appended.position());
       case LeaseLog.Outcome.Conflict conflict -> lease.drop();
     }
   }
 
+  private void onAppended(LogPosition expectedEnd, Instant sentAt, LogPosition position) {
+    Instant now = state.now();
+    if (position.epoch() != expectedEnd.epoch()) {
+      // The log was restored in between, and another node may have been granted the lease before.
+      lease.observeLog(position.next(), Optional.of(holder), now);
+      return;
+    }
+    boolean isNew = lease.held(now).isEmpty();
+    lease.confirmAppend(position, sentAt, now);
+    if (isNew) {
+      state
+          .log()
+          .info(
+              "duty_taken",
+              event ->
+                  event
+                      .with("token", position.fencingToken())
+                      .with("epoch", position.epoch())
+                      .with("offset", position.offset()));
+    }
+  }
+
   private void sendOrders(List<WeightsRollout.OutdatedRunner> outdated, Instant now) {
     int runners = state.runners().all().size();
     for (WeightsRollout.OutdatedRunner entry : rollout.nextOrders(outdated, runners, now)) {
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -10,6 +10,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.LeaderLease;
+import org.dragonflyhill.core.relay.LogPosition;
 import org.dragonflyhill.core.relay.PartDirectory;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.RunnerInfo;
@@ -214,7 +217,7 @@
    */
   @Test
   public void sendsNoOrdersWhileAnotherNodeHoldsLease() throws Exception {
-    log.append(0, "other/1", result -> {});
+    log.append(new LogPosition(0, 0), "other/1", result -> {});
     startController("me");
     await().during(Duration.ofMillis(1_200)).until(() -> orders.tokens.isEmpty());
     await().atMost(Duration.ofSeconds(4)).until(() -> !orders.tokens.isEmpty());
@@ -231,9 +234,35 @@
     assertTrue(before <= 3, "orders before the refusal: " + before);
   }
 
+  /**
+   * Guards against orders of two nodes with one fencing token (review case 1): the log came back
+   * from a copy without any lease record. The next order comes after the lease of a holder that the
+   * copy lacks, and has a higher token.
+   */
+  @Test
+  public void ordersWithHigherTokenAfterTheLogWasRestored() throws Exception {
+    startController("me");
+    await().atMost(Duration.ofSeconds(8)).until(() -> orders.changed.size() == RUNNERS);
+    // The lease is renewed until the last runner is seen to have changed; let it expire.
+    Thread.sleep(LeaderLease.DURATION.plusMillis(600).toMillis());
+    List<Long> before = List.copyOf(orders.tokens);
+    Instant restoredAt = Instant.now();
+    onLoop(
+        () -> {
+          log.restoreEmpty();
+          state.announceWeights("m", 3);
+          return null;
+        });
+    await().atMost(Duration.ofSeconds(12)).until(() -> orders.tokens.size() > before.size());
+    Duration waited = Duration.between(restoredAt, Instant.now());
+    assertTrue(waited.compareTo(HANDOVER_DELAY.plus(LeaderLease.DURATION)) > 0, "after " + waited);
+    long token = orders.tokens.get(before.size());
+    assertTrue(token > Collections.max(before), token + " after " + before);
+  }
+
   /** In-memory log that notifies its listener of each record. */
   private static final class FakeLeaseLog implements LeaseLog {
-    private long end;
+    private LogPosition end = new LogPosition(0, 0);
     private Optional<String> holder = Optional.empty();
     private Consumer<Tail> listener = newest -> {};
 
@@ -243,13 +272,21 @@
       onChange.accept(new Tail(end, holder));
     }
 
+    /** Restores an empty copy of the log. */
+    void restoreEmpty() {
+      end = new LogPosition(end.epoch() + 1, 0);
+      holder = Optional.empty();
+      listener.accept(new Tail(end, holder));
+    }
+
     @Override
-    public void append(long expectedEnd, String newHolder, Consumer<Either<String, Outcome>> done) {
-      if (expectedEnd != end) {
+    public void append(
+        LogPosition expectedEnd, String newHolder, Consumer<Either<String, Outcome>> done) {
+      if (!expectedEnd.equals(end)) {
         done.accept(Either.right(new Outcome.Conflict()));
         return;
       }
-      end++;
+      end = end.next();
       holder = Optional.of(newHolder);
       done.accept(Either.right(new Outcome.Appended(expectedEnd)));
       listener.accept(new Tail(end, holder));
