Keep runners out that left before the log was restored from a copy

Callers' requests would have gone to runners that shut down: the copy shows a runner that drains by its older entry, as ready, and one whose entry was removed since as listed.

Cause: the newest entry that was read won, whatever epoch it came from.

A live one appends its next heartbeat and is listed again.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -81,6 +81,8 @@
   }
 
   void update(RunnerInfo newer) {
+    // A process that shuts down does not return; a restored host list may show its older entry.
+    isMarkedDraining |= info.isDraining();
     info = newer;
     missingSince = Optional.empty();
     newer.weightVersions().forEach(this::observeWeightVersion);
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,11 @@
   /** Time after which the host list shows a process that has replaced another one. */
   public static final Duration RESTART_LISTING_TIME = Duration.ofSeconds(3);
 
+  /** Time for which removed runners are remembered, longer than a copy of the host list is old. */
+  private static final Duration DEPARTURE_MEMORY = Duration.ofMinutes(1);
+
   private final Map<String, Runner> runners = new LinkedHashMap<>();
+  private final Map<String, Departure> departures = new HashMap<>();
   private final SoftwareVersions softwareVersions = new SoftwareVersions();
   private Optional<Instant> hostListRestoredAt = Optional.empty();
 
@@ -55,6 +60,7 @@
       softwareVersions.recordGone(known.info(), now);
     }
     softwareVersions.recordListed(now);
+    departures.remove(info.id());
     runners.put(info.id(), new Runner(info, now));
     return true;
   }
@@ -79,6 +85,17 @@
   private void removeNow(Runner runner, Instant now) {
     softwareVersions.recordGone(runner.info(), now);
     runners.remove(runner.id());
+    departures.values().removeIf(old -> old.at().isBefore(now.minus(DEPARTURE_MEMORY)));
+    departures.put(runner.id(), new Departure(runner.info(), now));
+  }
+
+  /**
+   * Returns whether a process was removed from the host list lately. If a copy of the host list
+   * still has its entry, the entry is older than the removal.
+   */
+  public boolean hasLeft(RunnerInfo info) {
+    Departure departure = departures.get(info.id());
+    return departure != null && departure.info().isSameInstance(info);
   }
 
   /**
@@ -166,4 +183,6 @@
     }
     return available;
   }
+
+  private record Departure(RunnerInfo info, Instant at) {}
 }
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -231,4 +231,31 @@
     assertEquals(table.availableRunners("s").size(), 4);
     assertTrue(table.remove("r1", NOW.plusMillis(10)));
   }
+
+  /**
+   * Guards against new requests at a runner that leaves: a host list restored from a copy shows its
+   * older entry, as ready.
+   */
+  @Test
+  public void drainingIsNotUndoneByAnOlderEntry() {
+    table.put(info(1, true, 1), NOW);
+    table.put(info(1, false, 1), NOW.plusMillis(10));
+    assertEquals(table.availableRunners("s").size(), 4);
+    table.put(info(1, false, 2), NOW.plusMillis(20));
+    assertEquals(table.availableRunners("s").size(), 5, "with the next process");
+  }
+
+  /** A process that was removed is known to have left until it is listed anew. */
+  @Test
+  public void remembersWhichProcessesLeft() {
+    assertFalse(table.hasLeft(info(1, false, 1)));
+    table.remove("r1", NOW);
+    assertTrue(table.hasLeft(info(1, false, 1)));
+    assertFalse(table.hasLeft(info(1, false, 2)), "another process");
+    table.put(info(1, false, 1), NOW.plusSeconds(1));
+    assertFalse(table.hasLeft(info(1, false, 1)), "registered again");
+    table.remove("r2", NOW);
+    table.remove("r3", NOW.plusSeconds(61));
+    assertFalse(table.hasLeft(info(2, false, 1)), "after a minute");
+  }
 }
