Relay no response that two responses have run into

Cause: the second response arrives where the response to the next request is due. Cut off in its head, it runs into the head of the next one: the decoder took the status line of the first and the fields of the second. While the connection is idle, such a beginning waited in the decoder, so that the connection was not closed. Cut off in its body, it took the next response as the rest of its body; if that request's own second response followed, that one was relayed.

Now a head with a status line in its reason phrase or in a field, with two ids, signatures or lengths, or of another protocol is an error, and so is a status line in the body of a response that is skipped. Any bytes on an idle connection close it before they reach the decoder. After a response that no request waits for, connections to that runner carry one request each for 30 s, so a late response finds no other request. The log says connection_reuse_suspended.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -6,7 +6,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -22,7 +21,6 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.ReferenceCountUtil;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -114,7 +112,11 @@
             return;
           }
           var connection = new Connection(endpoint, connecting.channel());
-          connecting.channel().pipeline().addFirst(new UnaskedBytesHandler(connection));
+          connecting
+              .channel()
+              .pipeline()
+              .addFirst(
+                  new UnaskedBytesHandler(() -> connection.pendingCallback.isPresent(), () -> {}));
           connecting.channel().pipeline().addLast(connection);
           connection.send(request, done);
         });
@@ -166,25 +168,6 @@
    */
   public record Failure(String reason, boolean mayHaveTakenEffect) {}
 
-  /** Closes a connection that receives bytes while no request is in progress. */
-  private static final class UnaskedBytesHandler extends ChannelInboundHandlerAdapter {
-    private final Connection connection;
-
-    UnaskedBytesHandler(Connection connection) {
-      this.connection = connection;
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      if (connection.pendingCallback.isPresent()) {
-        context.fireChannelRead(message);
-      } else {
-        ReferenceCountUtil.release(message);
-        context.close();
-      }
-    }
-  }
-
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final Endpoint endpoint;
     private final Channel channel;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
@@ -103,6 +103,7 @@
    * Header fields of a runner's response.
    *
    * @param requestId id of the request that the response belongs to
+   * @param isAmbiguous whether the response names several requests or signatures
    * @param runnerId id of the runner that sent the response
    * @param isDraining whether the runner that sent the response is about to leave
    * @param isNotRun whether the runner did not run the request and never will
@@ -114,6 +115,7 @@
    */
   record ResponseHeaders(
       Optional<String> requestId,
+      boolean isAmbiguous,
       Optional<String> runnerId,
       boolean isDraining,
       boolean isNotRun,
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.daemon.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,6 +20,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.StatusLineScanner;
 
 /**
  * Client side of a connection to a runner, which carries one request at a time.
@@ -38,6 +41,7 @@
   private static final int MAX_SKIPPED_BYTES = 4 * 1_024 * 1_024;
 
   private final RunnerConnectionPool pool;
+  private final Endpoint endpoint;
   private final Channel channel;
   private Optional<ResponseListener> listener = Optional.empty();
   private Optional<ChannelFuture> lastWrite = Optional.empty();
@@ -50,15 +54,23 @@
   private int mismatchedResponses;
   private int interimResponses;
   private int skippedBytes;
+  private StatusLineScanner skippedBody = new StatusLineScanner();
+  private boolean isIdle;
   private Duration reuseWindow;
   private Instant idleSince = Instant.EPOCH;
 
-  RunnerConnection(RunnerConnectionPool pool, Channel channel, Duration reuseWindow) {
+  RunnerConnection(
+      RunnerConnectionPool pool, Endpoint endpoint, Channel channel, Duration reuseWindow) {
     this.pool = pool;
+    this.endpoint = endpoint;
     this.channel = channel;
     this.reuseWindow = reuseWindow;
   }
 
+  Endpoint endpoint() {
+    return endpoint;
+  }
+
   Channel channel() {
     return channel;
   }
@@ -69,6 +81,7 @@
   }
 
   void markIdle(Instant now) {
+    isIdle = true;
     idleSince = now;
   }
 
@@ -76,6 +89,7 @@
   void send(DefaultHttpRequest requestHead, ByteBuf body, String id, ResponseListener newListener) {
     listener = Optional.of(newListener);
     requestId = id;
+    isIdle = false;
     hasHeaders = false;
     isSkippingResponse = false;
     isReusable = false;
@@ -92,6 +106,11 @@
     channel.close();
   }
 
+  /** Returns a handler that closes this connection if it receives bytes while it is idle. */
+  UnaskedBytesHandler idleGuard() {
+    return new UnaskedBytesHandler(() -> !isIdle, () -> pool.onStrayResponse(this, ""));
+  }
+
   void pauseReading(boolean isPaused) {
     channel.config().setAutoRead(!isPaused);
   }
@@ -134,11 +153,17 @@
       return;
     }
     HeaderCodec.ResponseHeaders headers = pool.headerCodec().parseResponse(response);
+    if (headers.isAmbiguous()) {
+      fail("response to several requests");
+      return;
+    }
     boolean isMatching = headers.requestId().filter(requestId::equals).isPresent();
     if (!isMatching && !(requestId.isEmpty() && headers.requestId().isEmpty())) {
       isSkippingResponse = true;
       mismatchedResponses++;
+      skippedBody = new StatusLineScanner();
       pool.logMismatchedResponse(headers.requestId().orElse(""));
+      pool.onStrayResponse(this, headers.requestId().orElse(""));
       if (mismatchedResponses > MAX_MISMATCHED_RESPONSES) {
         fail("too many responses to other requests");
       }
@@ -161,6 +186,10 @@
     if (isSkippingResponse) {
       isSkippingResponse = !isLast;
       skippedBytes += content.content().readableBytes();
+      if (skippedBody.append(ByteBufUtil.getBytes(content.content()))) {
+        fail("response to another request was cut off and ran into the next one");
+        return;
+      }
       if (skippedBytes > MAX_SKIPPED_BYTES) {
         fail("skipped more than " + MAX_SKIPPED_BYTES + " bytes");
       }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
@@ -10,8 +10,8 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
+import org.dragonflyhill.core.relay.ConnectionReuse;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.ports.WriteErrorHandler;
 
@@ -76,6 +77,17 @@
     return Duration.ofNanos((long) (runnerIdleTimeout.toNanos() * IDLE_REUSE_FRACTION));
   }
 
+  /** Handles a response to a request that is over; an empty id if it is not known to which. */
+  void onStrayResponse(RunnerConnection connection, String id) {
+    IdleConnections idle = idleConnections(connection);
+    if (idle.reuse.recordStrayResponse(clock.instant())) {
+      log.info(
+          "connection_reuse_suspended",
+          event -> event.with("endpoint", connection.endpoint()).with("answered_request", id));
+    }
+    closeIdle(idle);
+  }
+
   void logMismatchedResponse(String id) {
     log.info("foreign_answer_skipped", event -> event.with("answered_request", id));
   }
@@ -118,7 +130,7 @@
                         .addLast(
                             WriteErrorHandler.INSTANCE,
                             new HttpRequestEncoder(),
-                            new HttpResponseDecoder());
+                            new StrictResponseDecoder());
                   }
                 })
             .connect(endpoint.host(), endpoint.port());
@@ -130,15 +142,22 @@
             return;
           }
           Channel channel = connecting.channel();
-          var connection = new RunnerConnection(this, channel, DEFAULT_REUSE_WINDOW);
+          var connection = new RunnerConnection(this, endpoint, channel, DEFAULT_REUSE_WINDOW);
+          channel.pipeline().addFirst(connection.idleGuard());
           channel.pipeline().addLast(connection);
           ready.accept(connection);
         });
   }
 
   void release(RunnerConnection connection) {
-    connection.markIdle(clock.instant());
-    idleConnections(connection).connections.addLast(connection);
+    Instant now = clock.instant();
+    IdleConnections idle = idleConnections(connection);
+    if (!idle.reuse.isPermitted(now)) {
+      connection.channel().close();
+      return;
+    }
+    connection.markIdle(now);
+    idle.connections.addLast(connection);
   }
 
   void onClosed(RunnerConnection connection) {
@@ -147,13 +166,18 @@
 
   /** Closes the idle connections to an endpoint. */
   void closeIdle(Endpoint endpoint) {
-    IdleConnections idle = idleByEndpoint.remove(endpoint);
+    IdleConnections idle = idleByEndpoint.get(endpoint);
     if (idle != null) {
-      Deque<RunnerConnection> closing = new ArrayDeque<>(idle.connections);
-      closing.forEach(connection -> connection.channel().close());
+      closeIdle(idle);
     }
   }
 
+  private static void closeIdle(IdleConnections idle) {
+    Deque<RunnerConnection> closing = new ArrayDeque<>(idle.connections);
+    idle.connections.clear();
+    closing.forEach(connection -> connection.channel().close());
+  }
+
   /** Closes the connections that have been idle for too long to be reused. */
   void closeExpired() {
     for (IdleConnections idle : idleByEndpoint.values()) {
@@ -165,9 +189,7 @@
   }
 
   private IdleConnections idleConnections(RunnerConnection connection) {
-    var address = (java.net.InetSocketAddress) connection.channel().remoteAddress();
-    Endpoint endpoint = new Endpoint(address.getAddress().getHostAddress(), address.getPort());
-    return idleByEndpoint.computeIfAbsent(endpoint, any -> new IdleConnections());
+    return idleByEndpoint.computeIfAbsent(connection.endpoint(), any -> new IdleConnections());
   }
 
   /** Is told of every attempt to open a connection, whoever asked for it. */
@@ -179,6 +201,7 @@
   }
 
   private static final class IdleConnections {
+    private final ConnectionReuse reuse = new ConnectionReuse();
     private final Deque<RunnerConnection> connections = new ArrayDeque<>();
   }
 }
