Do not end a stream because a runner rejected to go on with it

As logged around a planned stop: runner_refused with 503, retry_denied with "no attempt left", answer_broken_off.

Cause: an attempt that a runner rejected without running it used up one of the route's attempts. With two attempts, a stream whose runner fell silent for a second was cancelled there 300 ms after another runner had been asked, and was lost when that one rejected it.

The decision is AttemptLimit.

That this is what the users saw is read from their log; their run was not reproduced as a whole.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -28,6 +28,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.Admission;
+import org.dragonflyhill.core.relay.AttemptLimit;
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.EventStream;
@@ -123,7 +124,7 @@
   private Instant callerDeadline = Instant.MAX;
   private Instant deadline = Instant.MAX;
   private String fingerprint = "";
-  private int attempts;
+  private final AttemptLimit attempts = new AttemptLimit();
   private int unreachableRunners;
 
   /** Whether a retry was taken from the budget and nothing has been sent for it yet. */
@@ -361,7 +362,7 @@
     if (chosen.runner.rateLimit().perSecond().isPresent() && waitBehindOthers(now)) {
       return;
     }
-    if (attempts == 0 && chosen.selection != null) {
+    if (attempts.sent() == 0 && chosen.selection != null) {
       Optional<Duration> retryAfter =
           Admission.refusal(chosen.selection, route.targetLatency(), isRetry());
       if (retryAfter.isPresent()) {
@@ -540,7 +541,7 @@
 
   /** Queues the request if the rate limits of the runners will permit it soon. */
   private boolean waitForRateLimit(Instant now) {
-    if (attempts > 0 || isWaitOver(now)) {
+    if (attempts.sent() > 0 || isWaitOver(now)) {
       return false;
     }
     Optional<RateLimitForecast> forecast = state.rateLimitForecast(pool.name());
@@ -556,7 +557,7 @@
 
   /** Queues a new request if others that are as urgent wait already. */
   private boolean waitBehindOthers(Instant now) {
-    if (attempts > 0 || isQueued || waitingAhead() == 0) {
+    if (attempts.sent() > 0 || isQueued || waitingAhead() == 0) {
       return false;
     }
     enqueue(waitingAhead() + " requests wait already", now);
@@ -689,7 +690,7 @@
                 urgency(),
                 chosen.cacheInstructions(requestHeaders.prompt()),
                 lastEventId));
-    attempts++;
+    attempts.recordSent();
     hasUnusedRetry = false;
     lastEventId.ifPresent(eventId -> logResumption(chosen, eventId));
     chosen.onSent(connection, now);
@@ -790,7 +791,7 @@
                 line.with("request", id())
                     .with("route", route.name())
                     .with("runner", chosen.runner.id())
-                    .with("attempt", attempts)
+                    .with("attempt", attempts.sent())
                     .with("age_ms", Duration.between(receivedAt, state.now()).toMillis())
                     .with("configuration", configuration.version())
                     .with("detail", detail));
@@ -815,7 +816,7 @@
 
   /** Returns why another attempt is not possible, regardless of the retry budget. */
   private Optional<String> findRetryObstacle(Instant now) {
-    if (attempts >= route.maxAttempts()) {
+    if (!attempts.permitsAnother(route.maxAttempts(), isResponseStarted)) {
       return Optional.of("no attempt left");
     }
     if (!now.isBefore(deadline)) {
@@ -963,7 +964,7 @@
    * runner has answered, since its runner may go on and the other one may not be able to.
    */
   private void handOver(Attempt silent) {
-    if (attempts >= route.maxAttempts()) {
+    if (!attempts.permitsAnother(route.maxAttempts(), isResponseStarted)) {
       return;
     }
     Instant now = state.now();
@@ -1296,6 +1297,7 @@
     private void onNotRun(int status, HeaderCodec.ResponseHeaders responseHeaders) {
       Instant now = state.now();
       logAttempt("runner_refused", this, "status " + status);
+      attempts.recordRejected();
       if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
         onMisdirected(responseHeaders);
       } else if (responseHeaders.retryAfter().isEmpty()) {
