Take no late report for the answer to an order

A runner whose control responses come twice could stay on old weights: its second /report came where the answer to an order was due, and a 200 there means that the runner has the weights already (rule VERSION). On a kept connection every later answer was off by one too.

Cause: control responses name no request, and connections are reused.

Found in the code.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -37,8 +37,9 @@
 /**
  * HTTP client for the log service and for the control interfaces of runners and stores.
  *
- * <p>A connection on which a request failed or timed out is closed, the others are reused. Not
- * thread-safe: all methods must be called on the client's event loop.
+ * <p>A connection on which a request failed or timed out is closed, the others are reused unless a
+ * request asks for one of its own. Not thread-safe: all methods must be called on the client's
+ * event loop.
  */
 public final class ControlClient {
 
@@ -80,11 +81,24 @@
       connection.send(request, done);
       return;
     }
-    connect(endpoint, request, done);
+    connect(endpoint, request, true, done);
   }
 
-  private void connect(
+  /**
+   * Sends a request on a connection of its own, so that the response cannot be a late one to an
+   * earlier request. Responses name no request.
+   */
+  public void requestAlone(
       Endpoint endpoint, Request request, Consumer<Either<Failure, Response>> done) {
+    requestCount++;
+    connect(endpoint, request, false, done);
+  }
+
+  private void connect(
+      Endpoint endpoint,
+      Request request,
+      boolean isReusable,
+      Consumer<Either<Failure, Response>> done) {
     ChannelFuture connecting =
         new Bootstrap()
             .group(loop)
@@ -111,7 +125,7 @@
             done.accept(Either.left(new Failure(future.cause().toString(), false)));
             return;
           }
-          var connection = new Connection(endpoint, connecting.channel());
+          var connection = new Connection(endpoint, connecting.channel(), isReusable);
           connecting
               .channel()
               .pipeline()
@@ -171,12 +185,14 @@
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final Endpoint endpoint;
     private final Channel channel;
+    private final boolean isReusable;
     private Optional<Consumer<Either<Failure, Response>>> pendingCallback = Optional.empty();
     private Optional<ScheduledFuture<?>> timeoutTask = Optional.empty();
 
-    Connection(Endpoint endpoint, Channel channel) {
+    Connection(Endpoint endpoint, Channel channel, boolean isReusable) {
       this.endpoint = endpoint;
       this.channel = channel;
+      this.isReusable = isReusable;
     }
 
     void send(Request request, Consumer<Either<Failure, Response>> done) {
@@ -214,7 +230,9 @@
       }
       Deque<Connection> available =
           idleConnections.computeIfAbsent(endpoint, any -> new ArrayDeque<>());
-      if (HttpUtil.isKeepAlive(response) && available.size() < MAX_IDLE_PER_ENDPOINT) {
+      if (isReusable
+          && HttpUtil.isKeepAlive(response)
+          && available.size() < MAX_IDLE_PER_ENDPOINT) {
         available.addLast(this);
       } else {
         channel.close();
