Admit streams that have begun beyond the target latency of new ones

Cause: a stream that goes on was admitted like a new one. It has fewer runners to go to, those of its software version, and the target latency is for its first event, which the caller has.

Now it is admitted up to an estimate of 1.5 s, less than the 2 s for which callers wait between events.

Failed before: RunnerSelectorTest.servesStreamsThatHaveBegun (no such distinction existed).

--- a/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
@@ -24,6 +24,13 @@
    */
   public static final Duration RETRY_LATENCY_LIMIT = Duration.ofMillis(450);
 
+  /**
+   * Estimated time to the next event up to which a stream that has begun is admitted. Its caller
+   * has a part of the answer and waits at least 2 s for more; what has been written is lost
+   * otherwise.
+   */
+  public static final Duration CONTINUATION_LATENCY_LIMIT = Duration.ofMillis(1_500);
+
   /**
    * Number of running requests up to which a runner refuses nothing, because it still has free
    * slots.
@@ -45,23 +52,37 @@
 
   private Admission() {}
 
+  /** What the caller of a request has had of the answer so far. */
+  public enum Standing {
+    /** Nothing; this is its first attempt. */
+    NEW,
+    /** Nothing, after a refusal or failure. */
+    RETRIED,
+    /** A part of a stream, which it takes up again. */
+    BEGUN
+  }
+
   /**
    * Returns the delay after which the caller should retry if the request is refused, or empty if
    * the request is admitted.
    *
    * @param selection the selected runner with its cost estimate
    * @param targetLatency target latency of the route
-   * @param isRetry whether the caller retries after a refusal or failure
+   * @param standing what the caller has had of the answer so far
    */
   public static Optional<Duration> refusal(
-      RunnerSelector.Selection selection, Duration targetLatency, boolean isRetry) {
+      RunnerSelector.Selection selection, Duration targetLatency, Standing standing) {
     if (selection.running() <= ALWAYS_ADMITTED_RUNNING) {
       return Optional.empty();
     }
-    double limit = targetLatency.toNanos() / 1e9 * MAX_TARGET_MULTIPLE;
-    if (isRetry) {
-      limit = Math.max(limit, RETRY_LATENCY_LIMIT.toNanos() / 1e9);
-    }
+    Duration minLimit =
+        switch (standing) {
+          case NEW -> Duration.ZERO;
+          case RETRIED -> RETRY_LATENCY_LIMIT;
+          case BEGUN -> CONTINUATION_LATENCY_LIMIT;
+        };
+    double limit =
+        Math.max(targetLatency.toNanos() / 1e9 * MAX_TARGET_MULTIPLE, minLimit.toNanos() / 1e9);
     double excess = selection.firstTokenSeconds() - limit;
     return excess > 0
         ? Optional.of(MIN_RETRY_AFTER.plus(Duration.ofNanos((long) (excess * 1e9))))
--- a/core/src/main/java/org/dragonflyhill/core/relay/Route.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Route.java
@@ -42,6 +42,11 @@
     return kind == Kind.SAFE || (kind == Kind.STREAM && isResumable);
   }
 
+  /** Returns the age up to which a stream may still be taken up, with a margin for long waits. */
+  public Duration maxStreamAge() {
+    return timeout.multipliedBy(3).dividedBy(2);
+  }
+
   /**
    * Returns the service that handles a request, chosen in proportion to the weights.
    *
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
@@ -330,9 +330,11 @@
     }
     var selection =
         selector.selectForPrompt(request("k"), List.of(runner), List.of(), NOW).orElseThrow();
-    Duration retryAfter = Admission.refusal(selection, Duration.ofMillis(300), false).orElseThrow();
+    Duration retryAfter =
+        Admission.refusal(selection, Duration.ofMillis(300), Admission.Standing.NEW).orElseThrow();
     assertTrue(retryAfter.toMillis() > 700 && retryAfter.toMillis() < 1_500, retryAfter.toString());
-    assertTrue(Admission.refusal(selection, Duration.ofSeconds(2), false).isEmpty());
+    assertTrue(
+        Admission.refusal(selection, Duration.ofSeconds(2), Admission.Standing.NEW).isEmpty());
   }
 
   /** No request is refused while the runner has free slots, regardless of the estimate. */
@@ -342,7 +344,8 @@
     runner.requestSent(1, 852_000, 8_520, NOW);
     var selection =
         selector.selectForPrompt(request("k"), List.of(runner), List.of(), NOW).orElseThrow();
-    assertTrue(Admission.refusal(selection, Duration.ofMillis(300), false).isEmpty());
+    assertTrue(
+        Admission.refusal(selection, Duration.ofMillis(300), Admission.Standing.NEW).isEmpty());
   }
 
   /** A retried request is served late rather than refused again. */
@@ -354,8 +357,31 @@
     }
     var selection =
         selector.selectForPrompt(request("k"), List.of(runner), List.of(), NOW).orElseThrow();
-    assertTrue(Admission.refusal(selection, Duration.ofMillis(300), false).isPresent());
-    assertTrue(Admission.refusal(selection, Duration.ofMillis(300), true).isEmpty());
+    assertTrue(
+        Admission.refusal(selection, Duration.ofMillis(300), Admission.Standing.NEW).isPresent());
+    assertTrue(
+        Admission.refusal(selection, Duration.ofMillis(300), Admission.Standing.RETRIED).isEmpty());
+  }
+
+  /**
+   * Guards against streams that are taken up and refused like new ones (day rejoined, rule LOST):
+   * they cannot choose among the runners, and what was written of them is lost.
+   */
+  @Test
+  public void servesStreamsThatHaveBegun() {
+    Runner runner = runner("r1", 1);
+    for (int i = 0; i < 10; i++) {
+      runner.requestSent(1, 8_520, 8_520, NOW);
+    }
+    var selection =
+        selector.selectForPrompt(request("k"), List.of(runner), List.of(), NOW).orElseThrow();
+    Duration target = Duration.ofMillis(300);
+    assertTrue(Admission.refusal(selection, target, Admission.Standing.RETRIED).isPresent());
+    assertTrue(Admission.refusal(selection, target, Admission.Standing.BEGUN).isEmpty());
+    runner.requestSent(1, 85_200, 8_520, NOW);
+    selection =
+        selector.selectForPrompt(request("k"), List.of(runner), List.of(), NOW).orElseThrow();
+    assertTrue(Admission.refusal(selection, target, Admission.Standing.BEGUN).isPresent());
   }
 
   /** A request goes to another runner if it does not fit into the memory of the first. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -236,7 +236,7 @@
             requestHeaders.lastEventId().isPresent(),
             known.map(StreamOrigins.Known::origin),
             state
-                .soleSoftwareVersion(splitService, maxStreamAge())
+                .soleSoftwareVersion(splitService, route.maxStreamAge())
                 .map(version -> new StreamOrigin(splitService, version, organisationName())),
             organisationName(),
             route.shares().stream().map(Route.Share::service).toList());
@@ -258,11 +258,6 @@
     }
   }
 
-  /** Returns the age up to which a stream may still be taken up, with a margin for long waits. */
-  private Duration maxStreamAge() {
-    return route.timeout().multipliedBy(3).dividedBy(2);
-  }
-
   private void logStreamTakenUp(StreamOrigin origin, Optional<StreamOrigins.Known> known) {
     state.metrics().count("relay.streams_taken_up");
     state
@@ -364,7 +359,7 @@
     }
     if (attempts.sent() == 0 && chosen.selection != null) {
       Optional<Duration> retryAfter =
-          Admission.refusal(chosen.selection, route.targetLatency(), isRetry());
+          Admission.refusal(chosen.selection, route.targetLatency(), standing());
       if (retryAfter.isPresent()) {
         refuseUnavailable("overloaded", chosen.selection.explanation(), retryAfter.get());
         return;
@@ -726,6 +721,13 @@
                     .with("software", chosen.runner.info().softwareVersion().orElse("unknown")));
   }
 
+  private Admission.Standing standing() {
+    if (streamBinding.isBound()) {
+      return Admission.Standing.BEGUN;
+    }
+    return isRetry() ? Admission.Standing.RETRIED : Admission.Standing.NEW;
+  }
+
   /**
    * Returns whether the caller seems to retry: its remaining time is shorter than the timeout of
    * the route, so it has spent time on an earlier attempt.
