Write where streams began to the log while a service has several versions

After all nodes had lost power at once during a release, callers that took up their streams were refused: nobody knew which software version had begun them (rule LOST; 28 streams of which 3 went on, while two runners of their version served).

Cause: origins were in the memory of the nodes alone. Refusing is right when the version is not known, since a guess joins two versions (ORDER).

Now each node writes the origins of its streams to a topic of the log, in batches: every 100 ms, or less often so that all nodes write at most 100 batches a second, and only for services that have, or within the age of the oldest stream had, more than one version. When a second version appears, the streams that run are written too. A node reads the topic at its start, and again when neither it nor its peers know a stream, so one that is cut off from its peers finds it there as well. After a restore of the log the latest origins are written again. Not known are streams that began within 100 ms of the loss of power; they are refused as before. The topic is not keyed: the log service drops its records by age. Nodes of the release before ignore it.

Failed before: StreamOriginPatternTest.allNodesRestartWhileTwoVersionsServe and nodeWithoutPeersReadsTheLog (no log existed).

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -28,6 +28,7 @@
   private static final Duration REQUEST_CHECK_INTERVAL = Duration.ofMillis(50);
   private static final Duration QUEUE_RETRY_INTERVAL = Duration.ofMillis(25);
 
+  private static final Duration STREAM_JOURNAL_INTERVAL = Duration.ofMillis(50);
   private static final Duration STREAM_LOOKUP_INTERVAL = Duration.ofMillis(20);
 
   /** How often this node's shares of the runners' rate limits are calculated anew. */
@@ -69,6 +70,7 @@
     scheduleEvery(REQUEST_CHECK_INTERVAL, this::checkRequestTimeouts);
     scheduleEvery(QUEUE_RETRY_INTERVAL, () -> queue.retry(state.now()));
     scheduleEvery(STREAM_LOOKUP_INTERVAL, () -> state.streamOrigins().checkLookups(state.now()));
+    scheduleEvery(STREAM_JOURNAL_INTERVAL, state::writeStreamOrigins);
     scheduleEvery(SWEEP_INTERVAL, this::sweep);
     scheduleEvery(RATE_LIMIT_INTERVAL, state::updateRateLimitShares);
     state.metrics().registerGauge("relay.waiting", queue::size);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -35,6 +35,7 @@
 import org.dragonflyhill.core.relay.RateLimitReport;
 import org.dragonflyhill.core.relay.RateLimitShares;
 import org.dragonflyhill.core.relay.RelayConfiguration;
+import org.dragonflyhill.core.relay.Route;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.RunnerInfo;
 import org.dragonflyhill.core.relay.RunnerRateLimit;
@@ -282,6 +283,35 @@
     return streamOrigins;
   }
 
+  /** Uses a log in which all nodes write where streams began. */
+  public void useStreamOriginLog(StreamOriginLog originLog) {
+    streamOrigins.useLog(originLog, log);
+  }
+
+  /** Writes where streams began, for services that have or lately had several software versions. */
+  void writeStreamOrigins() {
+    if (!isLogReachable) {
+      return;
+    }
+    Duration maxAge = maxStreamAge();
+    Map<String, Boolean> isNeeded = new HashMap<>();
+    streamOrigins.writeJournal(
+        service ->
+            isNeeded.computeIfAbsent(service, name -> soleSoftwareVersion(name, maxAge).isEmpty()),
+        maxAge,
+        nodeCount());
+  }
+
+  /** Returns the age up to which the caller of any route may take up a stream. */
+  private Duration maxStreamAge() {
+    return configuration.stream()
+        .flatMap(known -> known.routes().stream())
+        .filter(Route::isResumable)
+        .map(Route::maxStreamAge)
+        .max(Duration::compareTo)
+        .orElse(Duration.ZERO);
+  }
+
   /** Returns the version of the software that a runner has, empty if that is not certain. */
   Optional<String> softwareVersion(Runner runner) {
     return runners.softwareVersion(runner, isLogReachable, now());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/StreamOriginDirectory.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/StreamOriginDirectory.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.dragonflyhill.core.relay.HolderAssignment;
 import org.dragonflyhill.core.relay.StreamOrigin;
 import org.dragonflyhill.core.relay.StreamOriginHolders;
@@ -20,7 +21,7 @@
 
 /**
  * Where the latest streams began, as this node and its peers know. A node tells some peers of each
- * stream that it begins; one that does not know a stream asks them.
+ * stream that it begins; one that does not know a stream asks them, and then reads the journal.
  */
 final class StreamOriginDirectory {
 
@@ -35,6 +36,7 @@
   private final StreamOrigins origins = new StreamOrigins();
   private final Map<String, Lookup> lookups = new HashMap<>();
   private Peers peers = new NoPeers();
+  private Optional<StreamOriginJournal> journal = Optional.empty();
 
   StreamOriginDirectory(InstantSource clock, NodeMetrics metrics) {
     this.clock = clock;
@@ -46,9 +48,27 @@
     peers = newPeers;
   }
 
+  /** Uses a log for what nodes have to know that start when no peer is left. */
+  void useLog(StreamOriginLog log, DecisionLog decisions) {
+    var opened =
+        new StreamOriginJournal(
+            log,
+            decisions,
+            (attempt, origin) -> origins.record(attempt, origin, "log", clock.instant()));
+    journal = Optional.of(opened);
+    opened.read(() -> {});
+  }
+
+  /** Writes the origins of streams that have begun here to the log, where they are needed. */
+  void writeJournal(Predicate<String> isNeeded, Duration maxAge, int nodes) {
+    journal.ifPresent(opened -> opened.write(isNeeded, maxAge, nodes, clock.instant()));
+  }
+
   /** Records where a stream has begun at this node, and tells the peers that hold it. */
   void begin(String attempt, StreamOrigin origin) {
-    origins.record(attempt, origin, "this node", clock.instant());
+    Instant now = clock.instant();
+    origins.record(attempt, origin, "this node", now);
+    journal.ifPresent(opened -> opened.begun(attempt, origin, now));
     List<String> ranked = StreamOriginHolders.rank(attempt, peers.live());
     peers.tell(
         attempt, origin, ranked.subList(0, Math.min(StreamOriginHolders.HOLDERS, ranked.size())));
@@ -80,10 +100,14 @@
   /** Passes what is known of a stream to a callback, after asking the peers if necessary. */
   void find(String attempt, Consumer<Optional<StreamOrigins.Known>> found) {
     Optional<StreamOrigins.Known> known = known(attempt);
-    if (known.isPresent() || peers.live().isEmpty()) {
+    if (known.isPresent()) {
       found.accept(known);
       return;
     }
+    if (peers.live().isEmpty()) {
+      readJournal(attempt, List.of(found));
+      return;
+    }
     Lookup running = lookups.get(attempt);
     if (running != null) {
       running.callbacks.add(found);
@@ -130,10 +154,25 @@
     Lookup lookup = lookups.remove(attempt);
     if (lookup != null) {
       Optional<StreamOrigins.Known> known = known(attempt);
-      lookup.callbacks.forEach(callback -> callback.accept(known));
+      if (known.isPresent()) {
+        lookup.callbacks.forEach(callback -> callback.accept(known));
+      } else {
+        readJournal(attempt, lookup.callbacks);
+      }
     }
   }
 
+  /** Passes on what is known of a stream after what is new in the journal has been read. */
+  private void readJournal(
+      String attempt, List<Consumer<Optional<StreamOrigins.Known>>> callbacks) {
+    Runnable pass =
+        () -> {
+          Optional<StreamOrigins.Known> known = known(attempt);
+          callbacks.forEach(callback -> callback.accept(known));
+        };
+    journal.ifPresentOrElse(opened -> opened.read(pass), pass);
+  }
+
   /** The other nodes. */
   interface Peers {
 
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/StreamOriginPatternTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/StreamOriginPatternTest.java
@@ -8,8 +8,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Random;
@@ -17,6 +19,7 @@
 import java.util.function.Consumer;
 import org.dragonflyhill.core.relay.HolderAssignment;
 import org.dragonflyhill.core.relay.StreamOrigin;
+import org.dragonflyhill.core.relay.StreamOriginBacklog;
 import org.dragonflyhill.core.relay.StreamOrigins;
 import org.dragonflyhill.daemon.NodeMetrics;
 import org.testng.annotations.DataProvider;
@@ -130,6 +133,60 @@
     }
   }
 
+  /**
+   * Guards against streams of which nobody knows the version (day rejoined, rule LOST): all nodes
+   * lose power at once while two versions serve, and come back. Only what was not yet in the log is
+   * unknown.
+   */
+  @Test
+  public void allNodesRestartWhileTwoVersionsServe() {
+    Network network = new Network(4, 0, new Random(1));
+    for (int i = 0; i < STREAMS; i++) {
+      Node first = network.nodes.get(i % 4);
+      first.directory.begin("attempt" + i, new StreamOrigin("s", "v" + i % 2, ""));
+      network.now = network.now.plusMillis(10);
+      network.writeJournals(true);
+      network.deliver();
+    }
+    network.nodes.forEach(Node::restart);
+    int known = 0;
+    for (int i = 0; i < STREAMS; i++) {
+      List<Optional<StreamOrigins.Known>> found = new ArrayList<>();
+      network.nodes.get((i + 1) % 4).directory.find("attempt" + i, found::add);
+      network.settle();
+      assertEquals(found.size(), 1);
+      if (found.getFirst().isPresent()) {
+        known++;
+        assertEquals(found.getFirst().get().origin(), new StreamOrigin("s", "v" + i % 2, ""));
+      }
+    }
+    int lag = (int) StreamOriginBacklog.MIN_INTERVAL.toMillis() / 10;
+    assertTrue(known >= STREAMS - lag, known + " of " + STREAMS);
+  }
+
+  /** A node that neither knows a stream nor hears from its peers reads it in the log. */
+  @Test
+  public void nodeWithoutPeersReadsTheLog() {
+    Network network = new Network(4, 0, new Random(1));
+    network.nodes.get(0).directory.begin("begun", ORIGIN);
+    network.writeJournals(true);
+    network.messages.clear();
+    network.dead.add(network.nodes.get(0));
+    List<Optional<StreamOrigins.Known>> found = new ArrayList<>();
+    network.nodes.get(3).directory.find("begun", found::add);
+    network.settle();
+    assertEquals(found.getFirst().map(StreamOrigins.Known::source), Optional.of("log"));
+  }
+
+  /** While a service has one version only, nothing is written. */
+  @Test
+  public void writesNothingForASoleVersion() {
+    Network network = new Network(4, 0, new Random(1));
+    network.nodes.get(0).directory.begin("begun", ORIGIN);
+    network.writeJournals(false);
+    assertEquals(network.log.size(), 0);
+  }
+
   /** Directories of nodes whose messages are delivered at once or lost. */
   private static final class Network {
     private final Random random;
@@ -137,6 +194,7 @@
     private final List<Node> nodes = new ArrayList<>();
     private final Set<Node> dead = new HashSet<>();
     private final Queue<Runnable> messages = new ArrayDeque<>();
+    private final List<Map<String, StreamOrigin>> log = new ArrayList<>();
     private Instant now = Instant.ofEpochSecond(1_000);
 
     Network(int count, double loss, Random random) {
@@ -147,6 +205,13 @@
       }
     }
 
+    void writeJournals(boolean areNeeded) {
+      nodes.forEach(
+          node ->
+              node.directory.writeJournal(
+                  service -> areNeeded, Duration.ofSeconds(18), nodes.size()));
+    }
+
     Node liveNode() {
       List<Node> live = nodes.stream().filter(node -> !dead.contains(node)).toList();
       return live.get(random.nextInt(live.size()));
@@ -193,6 +258,7 @@
     void restart() {
       directory = new StreamOriginDirectory(() -> network.now, new NodeMetrics());
       directory.usePeers(this);
+      directory.useLog(new SharedLog(network.log), new DecisionLog(() -> network.now));
     }
 
     String name() {
@@ -237,4 +303,33 @@
           });
     }
   }
+
+  /** One node's view of a log that outlives the nodes. */
+  private static final class SharedLog implements StreamOriginLog {
+    private final List<Map<String, StreamOrigin>> records;
+    private int next;
+
+    SharedLog(List<Map<String, StreamOrigin>> records) {
+      this.records = records;
+    }
+
+    @Override
+    public void append(Map<String, StreamOrigin> origins, Consumer<Boolean> done) {
+      records.add(Map.copyOf(origins));
+      done.accept(true);
+    }
+
+    @Override
+    public void readNew(Consumer<Map<String, StreamOrigin>> done) {
+      Map<String, StreamOrigin> origins = new HashMap<>();
+      records.subList(next, records.size()).forEach(origins::putAll);
+      next = records.size();
+      done.accept(origins);
+    }
+
+    @Override
+    public void onRestore(Runnable listener) {
+      // This log is never restored.
+    }
+  }
 }
