Rely on a sole software version only while the host list is current

A stream that a caller took up at a node that was out of step could go on at another software version than the one that began it (rule ORDER).

Cause: if nobody knows a stream, it goes on when its service has had one version for long enough, by the node's own list. A node that was suspended for some seconds has its old list when it goes on, in which runners of a new version that joined meanwhile are missing; the log counts as reachable until the next read fails.

Now that rule needs a list that was read, by this node or a peer, within the last 2 s. What counts is when the read was sent: a response that waited in the socket while the process was suspended says nothing of the time since. With the origins in the log, most such streams are known anyway.

What remains: within 2 s of its last read a node that neither peers nor the log tell of a stream may still take an old version for the only one.

--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
@@ -30,6 +30,12 @@
   /** Time after which the host list shows a process that has replaced another one. */
   public static final Duration RESTART_LISTING_TIME = Duration.ofSeconds(3);
 
+  /**
+   * Age of the host list from which it may lack runners that other nodes know. It is read about
+   * once a second.
+   */
+  public static final Duration MAX_AGE = Duration.ofSeconds(2);
+
   /** Time for which removed runners are remembered, longer than a copy of the host list is old. */
   private static final Duration DEPARTURE_MEMORY = Duration.ofMinutes(1);
 
@@ -37,6 +43,17 @@
   private final Map<String, Departure> departures = new HashMap<>();
   private final SoftwareVersions softwareVersions = new SoftwareVersions();
   private Optional<Instant> hostListRestoredAt = Optional.empty();
+  private Instant currentAt = Instant.MIN;
+
+  /**
+   * Records that this table has all that the host list had at a time.
+   *
+   * @param at time before the host list was read, not that at which the response was handled: this
+   *     process may have been suspended in between
+   */
+  public void recordCurrent(Instant at) {
+    currentAt = at.isAfter(currentAt) ? at : currentAt;
+  }
 
   /** Records that the host list is reachable again after an outage. */
   public void hostListRestored(Instant now) {
@@ -152,13 +169,17 @@
   }
 
   /**
-   * Returns the software version of a service if it has been the only one for some time.
+   * Returns the software version of a service if it has been the only one for some time. It is
+   * empty if the host list was not read lately: runners of another version may have joined.
    *
    * @param service name of the service
    * @param time the time, at most 10 minutes
    * @param now present time
    */
   public Optional<String> soleSoftwareVersion(String service, Duration time, Instant now) {
+    if (now.isAfter(currentAt.equals(Instant.MIN) ? currentAt : currentAt.plus(MAX_AGE))) {
+      return Optional.empty();
+    }
     return softwareVersions.sole(
         service, time, runners.values().stream().map(Runner::info).toList(), now);
   }
--- a/core/src/test/java/org/dragonflyhill/core/relay/StreamContinuationTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/StreamContinuationTest.java
@@ -154,15 +154,38 @@
     table.put(info("r1", "v1", 1), NOW);
     assertEquals(table.soleSoftwareVersion("s", time, NOW), Optional.empty());
     Instant later = NOW.plus(time);
+    table.recordCurrent(later);
     assertEquals(table.soleSoftwareVersion("s", time, later), Optional.of("v1"));
     table.put(info("r2", "v2", 1), later);
     assertEquals(table.soleSoftwareVersion("s", time, later), Optional.empty());
     table.remove("r1", later);
     assertEquals(table.soleSoftwareVersion("s", time, later), Optional.empty());
     Instant muchLater = later.plus(time).plus(Duration.ofMillis(1));
+    table.recordCurrent(muchLater);
     assertEquals(table.soleSoftwareVersion("s", time, muchLater), Optional.of("v2"));
     Duration tooLong = SoftwareVersions.MEMORY.plusMillis(1);
+    table.recordCurrent(muchLater.plus(tooLong));
     assertEquals(
         table.soleSoftwareVersion("s", tooLong, muchLater.plus(tooLong)), Optional.empty());
   }
+
+  /**
+   * Guards against a stream that goes on at another version: a node that was suspended, or cut off,
+   * has not seen that runners of a new version joined meanwhile, where the stream began.
+   */
+  @Test
+  public void staleHostListHasNoSoleVersion() {
+    Duration time = Duration.ofSeconds(18);
+    RunnerTable table = new RunnerTable();
+    table.put(info("r1", "v1", 1), NOW);
+    Instant later = NOW.plus(time);
+    table.recordCurrent(later);
+    Instant limit = later.plus(RunnerTable.MAX_AGE);
+    assertEquals(table.soleSoftwareVersion("s", time, limit), Optional.of("v1"));
+    assertEquals(table.soleSoftwareVersion("s", time, limit.plusMillis(1)), Optional.empty());
+    table.recordCurrent(NOW);
+    assertEquals(table.soleSoftwareVersion("s", time, limit), Optional.of("v1"), "overtaken read");
+    table.recordCurrent(limit);
+    assertEquals(table.soleSoftwareVersion("s", time, limit.plusMillis(1)), Optional.of("v1"));
+  }
 }
