Recognise a caller's reset on Java's own transport

On arm64 an operator saw an internal error with a stack for each caller that reset its connection in a body, and callers.gone was not counted.

Cause: the check knows the message of the native transport, "Connection reset by peer". The native library is on the class path for x86-64 alone, so arm64 uses Java's transport, which says "Connection reset".

Not run on x86-64.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/HttpFrontend.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.vavr.control.Either;
+import java.net.SocketException;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -30,6 +31,9 @@
  */
 public final class HttpFrontend implements AutoCloseable {
 
+  /** Message of a reset on Java's own transport; Reactor Netty knows that of the native one. */
+  private static final String NIO_RESET = "Connection reset";
+
   /** Request header with the time left until the deadline, in milliseconds. */
   public static final String DEADLINE_HEADER = "Dragonflyhill-Deadline-Millis";
 
@@ -209,8 +213,10 @@
         .withRetryAfter(CONNECTION_RETRY_AFTER);
   }
 
-  private static boolean isCallerDisconnected(Throwable error) {
-    return AbortedException.isConnectionReset(error);
+  /** Returns whether an error is a reset by the caller, as any transport reports it. */
+  static boolean isCallerDisconnected(Throwable error) {
+    return AbortedException.isConnectionReset(error)
+        || error instanceof SocketException && NIO_RESET.equals(error.getMessage());
   }
 
   private Mono<Void> callerDisconnected() {
--- a/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/HttpFrontendTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.InstantSource;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import org.dragonflyhill.ports.SettingValues;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -260,6 +262,25 @@
     Awaitility.await().until(() -> sendAndReceive(post(BODY)).startsWith("HTTP/1.1 200"));
   }
 
+  /** Errors by which the transports report a reset of the caller's connection, and others. */
+  @DataProvider
+  public Object[][] transportErrors() {
+    return new Object[][] {
+      {new SocketException("Connection reset"), true},
+      {new IOException("Connection reset by peer"), true},
+      {new SocketException("Broken pipe"), true},
+      {new IOException("Connection reset"), false},
+      {new SocketException("Connection refused"), false},
+      {new IllegalStateException("Connection reset"), false},
+    };
+  }
+
+  /** A reset is recognised on every transport; no other error passes as one. */
+  @Test(dataProvider = "transportErrors")
+  public void recognisesResetOnEveryTransport(Throwable error, boolean isReset) {
+    assertEquals(HttpFrontend.isCallerDisconnected(error), isReset, error.toString());
+  }
+
   @Test
   public void connectionResetDuringBodyReleasesRequest() throws IOException {
     final long before = metrics.counterValue("callers.gone");
