Change the shared cache salt when organisations become isolated

Cause: an isolated organisation gets a salt of its own, but the others went on with the salt that all had shared, under which its parts lie.

Now the shared salt depends on the set of isolated organisations. Without any it is as before.

--- a/core/src/main/java/org/dragonflyhill/core/relay/RelayConfiguration.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RelayConfiguration.java
@@ -27,6 +27,7 @@
   private final Map<String, Organisation> organisationsByKey = new HashMap<>();
   private final List<Service.Store> stores;
   private final boolean hasOrganisations;
+  private final CacheSalt cacheSalt;
   private final CallerLimits limits;
 
   /**
@@ -47,6 +48,7 @@
     this.version = version;
     this.limits = limits;
     this.hasOrganisations = !organisations.isEmpty();
+    cacheSalt = new CacheSalt(organisations);
     for (Route route : routes) {
       routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
     }
@@ -79,6 +81,11 @@
     return hasOrganisations;
   }
 
+  /** Returns the salts under which parts of prompts are cached. */
+  public CacheSalt cacheSalt() {
+    return cacheSalt;
+  }
+
   /** Returns the route of a host with the longest prefix that matches a path. */
   public Optional<Route> route(String host, String path) {
     for (Route route : routesByHost.getOrDefault(host, List.of())) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -23,7 +23,6 @@
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.ForwardTargets;
-import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartChangeLog;
 import org.dragonflyhill.core.relay.PartDirectory;
@@ -705,19 +704,6 @@
         now);
   }
 
-  /**
-   * Returns the cache salt of a model's weight version. The caches of isolated organisations have
-   * salts of their own.
-   */
-  public static String salt(String model, long version, Optional<Organisation> organisation) {
-    String isolationSuffix =
-        organisation
-            .filter(Organisation::isIsolated)
-            .map(isolated -> "#" + isolated.name())
-            .orElse("");
-    return model + "@" + version + isolationSuffix;
-  }
-
   /** Returns whether the node is ready to accept connections. */
   public boolean isReady() {
     return configuration.isPresent() && !isStopping;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -648,7 +648,7 @@
     var selectionRequest =
         new RunnerSelector.Request(
             prompt,
-            version -> RelayState.salt(prompt.model(), version, organisation),
+            version -> configuration.cacheSalt().of(prompt.model(), version, organisation),
             affinity,
             engine.bytesPerToken(),
             engine.memoryTokens(),
