Limit the bytes of all control responses together

Cause: each response was collected up to 16 MiB, and there was no limit for all connections together. Four of them used up the heap and the direct buffers of 96 MB, and the JVM made the only event loop wait for memory. Other nodes took the reads over and met the same.

The decision is ByteBudget.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -15,12 +16,14 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -31,6 +34,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.dragonflyhill.core.relay.ByteBudget;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.ports.WriteErrorHandler;
 
@@ -46,16 +50,29 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
   private static final int MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
+  /** Maximum number of bytes of all responses that are being received. */
+  private static final int MAX_BYTES_IN_PROGRESS = 24 * 1_024 * 1_024;
+
   /** Maximum number of idle connections kept open to one endpoint. */
   private static final int MAX_IDLE_PER_ENDPOINT = 2;
 
+  private static final String AGGREGATOR = "aggregator";
+  private static final String BUDGET = "budget";
+
   private final EventLoop loop;
+  private final ByteBudget responseBytes;
   private final Map<Endpoint, Deque<Connection>> idleConnections = new HashMap<>();
   private long requestCount;
 
   /** Creates a client that runs on an event loop. */
   public ControlClient(EventLoop loop) {
+    this(loop, new ByteBudget(MAX_RESPONSE_BYTES, MAX_BYTES_IN_PROGRESS));
+  }
+
+  /** Creates a client that runs on an event loop and limits what it receives. */
+  public ControlClient(EventLoop loop, ByteBudget responseBytes) {
     this.loop = loop;
+    this.responseBytes = responseBytes;
   }
 
   /** Returns the number of requests sent so far. */
@@ -112,10 +129,8 @@
                   protected void initChannel(SocketChannel channel) {
                     channel
                         .pipeline()
-                        .addLast(
-                            WriteErrorHandler.INSTANCE,
-                            new HttpClientCodec(),
-                            new HttpObjectAggregator(MAX_RESPONSE_BYTES));
+                        .addLast(WriteErrorHandler.INSTANCE, new HttpClientCodec())
+                        .addLast(AGGREGATOR, new HttpObjectAggregator(MAX_RESPONSE_BYTES));
                   }
                 })
             .connect(endpoint.host(), endpoint.port());
@@ -131,6 +146,7 @@
               .pipeline()
               .addFirst(
                   new UnaskedBytesHandler(() -> connection.pendingCallback.isPresent(), () -> {}));
+          connecting.channel().pipeline().addBefore(AGGREGATOR, BUDGET, connection.budgetHandler());
           connecting.channel().pipeline().addLast(connection);
           connection.send(request, done);
         });
@@ -186,6 +202,7 @@
     private final Endpoint endpoint;
     private final Channel channel;
     private final boolean isReusable;
+    private final ByteBudget.Share received = responseBytes.open();
     private Optional<Consumer<Either<Failure, Response>>> pendingCallback = Optional.empty();
     private Optional<ScheduledFuture<?>> timeoutTask = Optional.empty();
 
@@ -195,6 +212,24 @@
       this.isReusable = isReusable;
     }
 
+    /** Returns a handler that fails the request once its response is too long. */
+    ChannelInboundHandlerAdapter budgetHandler() {
+      return new ChannelInboundHandlerAdapter() {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+          if (pendingCallback.isEmpty()) {
+            ReferenceCountUtil.release(message);
+          } else if (message instanceof HttpContent content
+              && !received.add(content.content().readableBytes())) {
+            ReferenceCountUtil.release(message);
+            fail("response too long, or too many bytes of responses at once");
+          } else {
+            context.fireChannelRead(message);
+          }
+        }
+      };
+    }
+
     void send(Request request, Consumer<Either<Failure, Response>> done) {
       pendingCallback = Optional.of(done);
       var httpRequest =
@@ -222,6 +257,7 @@
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
       Optional<Consumer<Either<Failure, Response>>> done = pendingCallback;
       pendingCallback = Optional.empty();
+      received.release();
       timeoutTask.ifPresent(running -> running.cancel(false));
       if (done.isEmpty() || response.decoderResult().isFailure()) {
         channel.close();
@@ -245,6 +281,7 @@
     private void fail(String reason) {
       final Optional<Consumer<Either<Failure, Response>>> done = pendingCallback;
       pendingCallback = Optional.empty();
+      received.release();
       timeoutTask.ifPresent(running -> running.cancel(false));
       channel.close();
       done.ifPresent(d -> d.accept(Either.left(new Failure(reason, true))));
