--- a/core/src/test/java/org/dragonflyhill/core/relay/SharedTopicTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/SharedTopicTest.java
@@ -145,7 +145,7 @@
     SharedTopic reader = new SharedTopic("t");
     SharedTopic other = new SharedTopic("t");
     reader.recordRead(0, 0, 5, Optional.of(List.of(entry(4))), NOW);
-    var before = progress(reader, NOW);
+    final var before = progress(reader, NOW);
     reader.recordRead(1, 0, 5, Optional.of(List.of(entry(4))), NOW);
     var after = progress(reader, NOW);
     assertEquals(other.accept(after, at(4), NOW), Optional.empty(), "newer epoch");
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -255,7 +255,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      Optional<Consumer<Either<Failure, Response>>> done = pendingCallback;
+      final Optional<Consumer<Either<Failure, Response>>> done = pendingCallback;
       pendingCallback = Optional.empty();
       received.release();
       timeoutTask.ifPresent(running -> running.cancel(false));
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/StreamOriginPatternTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/StreamOriginPatternTest.java
@@ -180,7 +180,7 @@
 
   /** While a service has one version only, nothing is written. */
   @Test
-  public void writesNothingForASoleVersion() {
+  public void writesNothingForSoleVersion() {
     Network network = new Network(4, 0, new Random(1));
     network.nodes.get(0).directory.begin("begun", ORIGIN);
     network.writeJournals(false);
