--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerDatagramCodecTest.java
@@ -59,7 +59,7 @@
                   9,
                   Duration.ofMillis(30),
                   List.of(new TopicProgress.Entry(5, "k", new byte[] {1, 2}))),
-              new TopicProgress("keyed.op", 3, 4, 9, Duration.ofMillis(30), List.of())),
+              new TopicProgress("operator", 3, 4, 9, Duration.ofMillis(30), List.of())),
           OptionalLong.of(123_456),
           new CrashReport(
               Map.of("m/bad0", Map.of("i-1@17", Duration.ofMillis(40))),
@@ -151,8 +151,8 @@
   @Test
   public void namesEpochWhereReleasesBeforeIgnoreIt() {
     for (long epoch : new long[] {0, 2}) {
-      String name = epoch == 0 ? "keyed.op" : "keyed.op@2";
-      PeerReport report = reportOf(new TopicProgress("keyed.op", epoch, 4, 9, AGE, List.of()));
+      String name = epoch == 0 ? "operator" : "operator@2";
+      PeerReport report = reportOf(new TopicProgress("operator", epoch, 4, 9, AGE, List.of()));
       byte[] encoded = PeerDatagramCodec.encode(new PeerDatagram.Report(report));
       PeerReport asBefore = reportOf(new TopicProgress(name, 0, 4, 9, AGE, List.of()));
       assertEquals(encoded, PeerDatagramCodec.encode(new PeerDatagram.Report(asBefore)));
