--- a/core/src/main/java/org/dragonflyhill/core/relay/CacheSalt.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CacheSalt.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
 import java.util.HexFormat;
 import java.util.List;
@@ -37,15 +36,11 @@
   }
 
   private static String digest(List<String> names) {
-    try {
-      MessageDigest digest = MessageDigest.getInstance("SHA-256");
-      for (String name : names) {
-        digest.update((name.length() + ":" + name).getBytes(StandardCharsets.UTF_8));
-      }
-      return HexFormat.of().formatHex(digest.digest(), 0, DIGEST_LENGTH);
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java platform has SHA-256", e);
+    MessageDigest digest = RequestFingerprint.sha256();
+    for (String name : names) {
+      digest.update((name.length() + ":" + name).getBytes(StandardCharsets.UTF_8));
     }
+    return HexFormat.of().formatHex(digest.digest(), 0, DIGEST_LENGTH);
   }
 
   /** Returns the salt of a weight version of a model for an organisation, empty if none. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/LogEpochs.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/LogEpochs.java
@@ -14,10 +14,11 @@
   /** Number of the first epoch, also assumed of a response that names none. */
   public static final long FIRST_NUMBER = 1;
 
-  private static final long NONE = -1;
+  /** Number of the newest epoch before the first response. */
+  private static final long UNKNOWN = -1;
 
   private long firstNumber = FIRST_NUMBER;
-  private long newestNumber = NONE;
+  private long newestNumber = UNKNOWN;
 
   /** What the epoch of a response says about the log. */
   public enum Change {
@@ -38,7 +39,7 @@
     if (number < newestNumber) {
       return Change.OVERTAKEN;
     }
-    boolean isFirst = newestNumber == NONE;
+    boolean isFirst = newestNumber == UNKNOWN;
     boolean isNewer = number > newestNumber;
     firstNumber = Math.min(firstNumber, number);
     newestNumber = number;
@@ -47,6 +48,6 @@
 
   /** Returns the newest epoch, 0 before the first response. */
   public long newest() {
-    return newestNumber == NONE ? 0 : newestNumber - firstNumber;
+    return newestNumber == UNKNOWN ? 0 : newestNumber - firstNumber;
   }
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/RequestFingerprint.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RequestFingerprint.java
@@ -40,7 +40,7 @@
     return HexFormat.of().formatHex(digest.digest(), 0, LENGTH);
   }
 
-  private static MessageDigest sha256() {
+  static MessageDigest sha256() {
     try {
       return MessageDigest.getInstance("SHA-256");
     } catch (NoSuchAlgorithmException e) {
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
@@ -107,12 +107,14 @@
   }
 
   /**
-   * Returns whether a process was removed from the host list lately. If a copy of the host list
-   * still has its entry, the entry is older than the removal.
+   * Returns whether a process was removed from the host list in the last minute. If a copy of the
+   * host list still has its entry, the entry is older than the removal.
    */
-  public boolean hasLeft(RunnerInfo info) {
+  public boolean hasLeft(RunnerInfo info, Instant now) {
     Departure departure = departures.get(info.id());
-    return departure != null && departure.info().isSameInstance(info);
+    return departure != null
+        && departure.info().isSameInstance(info)
+        && !now.isAfter(departure.at().plus(DEPARTURE_MEMORY));
   }
 
   /**
@@ -177,7 +179,7 @@
    * @param now present time
    */
   public Optional<String> soleSoftwareVersion(String service, Duration time, Instant now) {
-    if (now.isAfter(currentAt.equals(Instant.MIN) ? currentAt : currentAt.plus(MAX_AGE))) {
+    if (now.isAfter(currentAt.plus(MAX_AGE))) {
       return Optional.empty();
     }
     return softwareVersions.sole(
--- a/core/src/main/java/org/dragonflyhill/core/relay/StreamOriginBacklog.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/StreamOriginBacklog.java
@@ -75,8 +75,7 @@
   private boolean isTooEarly(int nodes, Instant now) {
     Duration share = Duration.ofSeconds(nodes).dividedBy(MAX_BATCHES_PER_SECOND);
     Duration interval = share.compareTo(MIN_INTERVAL) > 0 ? share : MIN_INTERVAL;
-    return !lastBatchAt.equals(Instant.MIN)
-        && Duration.between(lastBatchAt, now).compareTo(interval) < 0;
+    return now.isBefore(lastBatchAt.plus(interval));
   }
 
   /** Records the end of a batch; its origins are written again if it may not be in the log. */
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -248,14 +248,14 @@
   /** A process that was removed is known to have left until it is listed anew. */
   @Test
   public void remembersWhichProcessesLeft() {
-    assertFalse(table.hasLeft(info(1, false, 1)));
+    assertFalse(table.hasLeft(info(1, false, 1), NOW));
     table.remove("r1", NOW);
-    assertTrue(table.hasLeft(info(1, false, 1)));
-    assertFalse(table.hasLeft(info(1, false, 2)), "another process");
+    assertTrue(table.hasLeft(info(1, false, 1), NOW));
+    assertFalse(table.hasLeft(info(1, false, 2), NOW), "another process");
     table.put(info(1, false, 1), NOW.plusSeconds(1));
-    assertFalse(table.hasLeft(info(1, false, 1)), "registered again");
+    assertFalse(table.hasLeft(info(1, false, 1), NOW.plusSeconds(1)), "registered again");
     table.remove("r2", NOW);
-    table.remove("r3", NOW.plusSeconds(61));
-    assertFalse(table.hasLeft(info(2, false, 1)), "after a minute");
+    assertTrue(table.hasLeft(info(2, false, 1), NOW.plusSeconds(60)));
+    assertFalse(table.hasLeft(info(2, false, 1), NOW.plusSeconds(61)), "after a minute");
   }
 }
