Read the loads of peers once for each selection

Callers saw requests of nodes with many peers take milliseconds of processor time each: a profile of a node at 36 nodes shows nearly all samples of requests in RunnerSelector.selectForPrompt, and there in Duration.multipliedBy, which calculates with BigDecimal. PeerTable.atLeast called it for each peer and runner, and every runner was compared with every source of every part.

The period is now calculated in nanoseconds, the loads of all peers are summed once for each time that a decision is made for, and the sources that hold a part are looked up once for each salt.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerSchedule.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerSchedule.java
@@ -60,6 +60,7 @@
 
   /** Returns the time between two messages to the same peer. */
   public Duration period(int peers) {
-    return tick.multipliedBy(groups(peers));
+    // Duration.multipliedBy calculates with BigDecimal, which is too slow for each request.
+    return Duration.ofNanos(tick.toNanos() * groups(peers));
   }
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.ToLongFunction;
 
 /**
  * The latest reports of all other nodes about themselves and their load on runners.
@@ -30,6 +29,9 @@
 
   private final Map<String, LatestReport> peers = new HashMap<>();
 
+  /** Sums over all peers; a selection reads them for each runner at the same time. */
+  private Optional<PeerLoads> loads = Optional.empty();
+
   /**
    * Stores a report unless it is older than the latest one from the same node incarnation. Returns
    * whether it was stored.
@@ -42,6 +44,7 @@
             && last.report().sequence() >= report.sequence();
     if (!isOutdated) {
       peers.put(report.node(), new LatestReport(report, now));
+      loads = Optional.empty();
     }
     return !isOutdated;
   }
@@ -65,12 +68,14 @@
   /** Removes the peers that have not reported for so long that they count as gone. */
   public void removeGone(Instant now) {
     peers.values().removeIf(latest -> !isWithin(latest.receivedAt(), MEMBER_MAX_AGE, now));
+    loads = Optional.empty();
   }
 
   /** Returns a time limit, extended if reports are sent so seldom that it would be too short. */
   private Duration atLeast(Duration limit) {
     Duration periods =
-        PeerSchedule.REPORTS.period(peers.size()).multipliedBy(PERIODS_UNTIL_TIMEOUT);
+        Duration.ofNanos(
+            PeerSchedule.REPORTS.period(peers.size()).toNanos() * PERIODS_UNTIL_TIMEOUT);
     return periods.compareTo(limit) > 0 ? periods : limit;
   }
 
@@ -99,7 +104,7 @@
 
   /** Returns the number of requests that other nodes have running at a runner. */
   public int running(String runner, Instant now) {
-    return Math.toIntExact(sum(runner, now, PeerReport.Load::running));
+    return loads(now).running(runner);
   }
 
   /**
@@ -110,7 +115,7 @@
    * @param now present time
    */
   public long prefillTokensAhead(String runner, int rank, Instant now) {
-    return sum(runner, now, load -> load.prefillTokensAhead(rank));
+    return loads(now).prefillTokensAhead(runner, rank);
   }
 
   /**
@@ -122,30 +127,26 @@
    * @param now present time
    */
   public long memoryTokensAhead(String runner, int rank, Instant now) {
-    return sum(runner, now, load -> load.memoryTokensAhead(rank));
-  }
-
-  private long sum(String runner, Instant now, ToLongFunction<PeerReport.Load> part) {
-    long sum = 0;
-    Duration maxAge = atLeast(LOAD_MAX_AGE);
-    for (LatestReport latest : peers.values()) {
-      PeerReport.Load load = latest.report().loads().get(runner);
-      if (load != null && isWithin(latest.receivedAt(), maxAge, now)) {
-        sum += part.applyAsLong(load);
-      }
-    }
-    return sum;
+    return loads(now).memoryTokensAhead(runner, rank);
   }
 
   /** Returns whether any peer reports that it has ordered a runner to change its weights. */
   public boolean isChangingWeights(String runner, Instant now) {
-    for (LatestReport latest : peers.values()) {
-      if (isWithin(latest.receivedAt(), atLeast(LOAD_MAX_AGE), now)
-          && latest.report().changingRunners().contains(runner)) {
-        return true;
+    return loads(now).isChangingWeights(runner);
+  }
+
+  private PeerLoads loads(Instant now) {
+    if (loads.filter(known -> known.at().equals(now)).isEmpty()) {
+      PeerLoads sums = new PeerLoads(now);
+      Duration maxAge = atLeast(LOAD_MAX_AGE);
+      for (LatestReport latest : peers.values()) {
+        if (isWithin(latest.receivedAt(), maxAge, now)) {
+          sums.add(latest.report());
+        }
       }
+      loads = Optional.of(sums);
     }
-    return false;
+    return loads.get();
   }
 
   /**
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
@@ -138,8 +138,9 @@
   public Optional<Selection> selectForPrompt(
       Request request, Collection<Runner> runners, Collection<Source> sources, Instant now) {
     Selection best = null;
+    PartSources partSources = new PartSources(directory, request.prompt().sharedParts(), sources);
     for (Runner runner : runners) {
-      Selection selection = evaluate(request, runner, sources, now);
+      Selection selection = evaluate(request, runner, partSources, now);
       Optional<Instant> replacedAt =
           announcedWeights.replacedAt(request.prompt().model(), selection.weightVersion());
       if (!weightsDeadline.maySend(replacedAt, selection.firstTokenSeconds(), now)) {
@@ -152,8 +153,7 @@
     return Optional.ofNullable(best);
   }
 
-  private Selection evaluate(
-      Request request, Runner runner, Collection<Source> sources, Instant now) {
+  private Selection evaluate(Request request, Runner runner, PartSources sources, Instant now) {
     List<Prompt.Part> shared = request.prompt().sharedParts();
     long version = runner.weightVersion(request.prompt().model());
     String salt = request.saltResolver().salt(version);
@@ -166,7 +166,7 @@
     boolean isPrefixCovered = true;
     for (int i = 0; i < shared.size(); i++) {
       Prompt.Part part = shared.get(i);
-      Optional<Source> source = fetchSource(request, runner, salt, part, sources, now);
+      Optional<Source> source = fetchSource(request, runner, part, sources.of(salt, i), now);
       // Parts that the runner should have get a source too, since it may have evicted them by then.
       fetchSources.add(source.map(Source::endpoint));
       if (i < leading) {
@@ -235,20 +235,14 @@
     return isSameZone ? seconds : seconds * CROSS_ZONE_FACTOR;
   }
 
-  /** Returns the fastest source of a part, empty if prefilling the part costs less. */
+  /** Returns the fastest of the sources that hold a part, empty if prefilling it costs less. */
   private Optional<Source> fetchSource(
-      Request request,
-      Runner runner,
-      String salt,
-      Prompt.Part part,
-      Collection<Source> sources,
-      Instant now) {
+      Request request, Runner runner, Prompt.Part part, List<Source> sources, Instant now) {
     Source best = null;
     double lowestCost =
         part.tokens() / PREFILL_TOKENS_PER_SECOND + part.tokens() * RECOMPUTE_SECONDS_PER_TOKEN;
     for (Source source : sources) {
-      if (source.endpoint().equals(runner.info().endpoint())
-          || !directory.holds(source.endpoint(), salt, part)) {
+      if (source.endpoint().equals(runner.info().endpoint())) {
         continue;
       }
       // A managed store evicts nothing; other sources may evict the part before the fetch begins.
