Serve cold runners within their rate, and evacuate availability zones

Evacuations holds the zones; RunnerTable offers none of their runners for new requests, retries and those that wait.

A cold runner gets requests from a few nodes only, chosen by rendezvous hashing among the registered nodes (ColdStartLimits), each with a token bucket that is now shared with the runners' own rate limits. Peers heard lately decide nothing, since nodes that do not hear each other would take the shares of all. Runners count as cold as their entries say, after an evacuation of their zone, and after a connection that failed.

--- a/core/src/main/java/org/dragonflyhill/core/relay/RateLimitForecast.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RateLimitForecast.java
@@ -31,11 +31,10 @@
     if (heldBack.isEmpty()) {
       return Optional.empty();
     }
-    double share =
-        heldBack.stream().mapToDouble(runner -> runner.rateLimit().sharePerSecond()).sum();
+    double share = heldBack.stream().mapToDouble(runner -> runner.permittedPerSecond(now)).sum();
     Optional<Duration> untilNext =
         heldBack.stream()
-            .flatMap(runner -> runner.rateLimit().timeUntilPermitted(now).stream())
+            .flatMap(runner -> runner.timeUntilPermitted(now).stream())
             .min(Comparator.naturalOrder());
     return Optional.of(new RateLimitForecast(heldBack.size(), share, untilNext));
   }
@@ -46,8 +45,12 @@
    * @param ahead number of requests that are sent before it
    */
   public Optional<Duration> waitBehind(int ahead) {
-    return untilNext.map(
-        next -> next.plus(Duration.ofNanos((long) (ahead / sharePerSecond * NANOS_PER_SECOND))));
+    // Without a share, the wait ends as a runner stops being cold, for all requests at once.
+    return sharePerSecond == 0
+        ? untilNext
+        : untilNext.map(
+            next ->
+                next.plus(Duration.ofNanos((long) (ahead / sharePerSecond * NANOS_PER_SECOND))));
   }
 
   /**
--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -48,6 +48,7 @@
   private final Map<String, Long> weightVersions = new HashMap<>();
   private final FailureScore failureScore = new FailureScore();
   private final RunnerRateLimit rateLimit = new RunnerRateLimit();
+  private final RunnerColdStart coldStart = new RunnerColdStart();
   private int running;
   private int unanswered;
   private final RankedTokens prefillTokens = new RankedTokens();
@@ -299,6 +300,40 @@
     return rateLimit;
   }
 
+  /** Returns whether the runner is cold. */
+  public RunnerColdStart coldStart() {
+    return coldStart;
+  }
+
+  /** Returns whether the rate limits of the runner permit this node to send a request now. */
+  public boolean isPermitted(Instant now) {
+    return rateLimit.isPermitted(now) && coldStart.isPermitted(now);
+  }
+
+  /** Returns how long the rate limits permit no request, empty if this node has no share. */
+  Optional<Duration> timeUntilPermitted(Instant now) {
+    return rateLimit
+        .timeUntilPermitted(now)
+        .flatMap(
+            limited ->
+                coldStart
+                    .timeUntilPermitted(now)
+                    .map(cold -> cold.compareTo(limited) > 0 ? cold : limited));
+  }
+
+  /** Returns the requests per second that this node may send while a rate limit is in force. */
+  double permittedPerSecond(Instant now) {
+    double limited =
+        rateLimit.perSecond().isPresent() ? rateLimit.sharePerSecond() : Double.MAX_VALUE;
+    return coldStart.isLimited(now) ? Math.min(limited, coldStart.sharePerSecond()) : limited;
+  }
+
+  /** Records that a request is about to be sent, which uses up a part of the rate limits. */
+  public void recordDispatch(Instant now) {
+    rateLimit.recordRequest(now);
+    coldStart.recordRequest(now);
+  }
+
   /** Returns the decaying score of recent failures. */
   public double failureScore(Instant now) {
     return failureScore.value(now);
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerInfo.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerInfo.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.core.relay;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 
@@ -15,6 +16,7 @@
  * @param weightVersions weight version of each model
  * @param softwareVersion version of the runner's software, an opaque name; empty if unknown
  * @param startedAtMillis Unix time of the process start in milliseconds, 0 if unknown
+ * @param coldRemaining time for which the runner is cold when it writes the entry
  */
 public record RunnerInfo(
     String id,
@@ -25,13 +27,38 @@
     boolean isDraining,
     Map<String, Long> weightVersions,
     Optional<String> softwareVersion,
-    long startedAtMillis) {
+    long startedAtMillis,
+    Duration coldRemaining) {
 
   /** Creates an entry with a copy of the weight versions. */
   public RunnerInfo {
     weightVersions = Map.copyOf(weightVersions);
   }
 
+  /** Creates an entry of a runner that is not cold. */
+  public RunnerInfo(
+      String id,
+      String service,
+      Endpoint endpoint,
+      String zone,
+      int slots,
+      boolean isDraining,
+      Map<String, Long> weightVersions,
+      Optional<String> softwareVersion,
+      long startedAtMillis) {
+    this(
+        id,
+        service,
+        endpoint,
+        zone,
+        slots,
+        isDraining,
+        weightVersions,
+        softwareVersion,
+        startedAtMillis,
+        Duration.ZERO);
+  }
+
   /** Returns whether an entry describes the same process instance of the same runner. */
   public boolean isSameInstance(RunnerInfo other) {
     return id.equals(other.id)
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerRateLimit.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerRateLimit.java
@@ -9,9 +9,6 @@
  * The rate of requests that a runner says it accepts from all nodes together, if it names one, and
  * this node's share of it as a token bucket.
  *
- * <p>The bucket holds a single token and starts empty, so requests are spaced out, also after a
- * pause.
- *
  * <p>Not thread-safe; no argument may be null.
  */
 public final class RunnerRateLimit {
@@ -19,18 +16,9 @@
   /** Maximum age of a reading that is reported to peers; a newer one follows with each answer. */
   private static final Duration REPORTED_AGE = Duration.ofSeconds(10);
 
-  private static final double CAPACITY = 1;
-
-  /** Tolerance for rounding errors in the number of tokens. */
-  private static final double EPSILON = 1e-9;
-
-  private static final double NANOS_PER_SECOND = 1e9;
-
   private Reading inForce = Reading.NONE;
   private Optional<Reading> own = Optional.empty();
-  private double sharePerSecond;
-  private double tokens;
-  private Instant refilledAt = Instant.MIN;
+  private final TokenBucket bucket = new TokenBucket();
 
   /** Returns the limit in force, in requests per second, empty if there is none. */
   public OptionalDouble perSecond() {
@@ -92,53 +80,31 @@
 
   /** Sets the share of the limit that this node may use, in requests per second. */
   public void setShare(double perSecond, Instant now) {
-    refill(now);
-    sharePerSecond = perSecond;
-    if (perSecond == 0) {
-      tokens = 0;
-    }
+    bucket.setShare(perSecond, now);
   }
 
   /** Returns the share of the limit that this node may use, in requests per second. */
   public double sharePerSecond() {
-    return sharePerSecond;
+    return bucket.sharePerSecond();
   }
 
   /** Returns whether this node may send a request now. */
   public boolean isPermitted(Instant now) {
-    if (inForce.perSecond().isEmpty()) {
-      return true;
-    }
-    refill(now);
-    return tokens >= CAPACITY - EPSILON;
+    return inForce.perSecond().isEmpty() || bucket.isPermitted(now);
   }
 
   /** Records that a request is sent. */
   public void recordRequest(Instant now) {
     if (inForce.perSecond().isPresent()) {
-      refill(now);
-      tokens--;
+      bucket.recordRequest(now);
     }
   }
 
   /** Returns how long this node may send no request, empty if it has no share of the limit. */
   public Optional<Duration> timeUntilPermitted(Instant now) {
-    if (isPermitted(now)) {
-      return Optional.of(Duration.ZERO);
-    }
-    return sharePerSecond == 0
-        ? Optional.empty()
-        : Optional.of(
-            Duration.ofNanos(
-                (long) Math.ceil((CAPACITY - tokens) / sharePerSecond * NANOS_PER_SECOND)));
-  }
-
-  private void refill(Instant now) {
-    if (sharePerSecond > 0 && now.isAfter(refilledAt)) {
-      double seconds = Duration.between(refilledAt, now).toNanos() / NANOS_PER_SECOND;
-      tokens = Math.min(CAPACITY, tokens + seconds * sharePerSecond);
-    }
-    refilledAt = now;
+    return inForce.perSecond().isEmpty()
+        ? Optional.of(Duration.ZERO)
+        : bucket.timeUntilPermitted(now);
   }
 
   /**
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
@@ -42,6 +42,7 @@
   private final Map<String, Runner> runners = new LinkedHashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
   private final SoftwareVersions softwareVersions = new SoftwareVersions();
+  private final Evacuations evacuations = new Evacuations();
   private Optional<Instant> hostListRestoredAt = Optional.empty();
   private Instant currentAt = Instant.MIN;
 
@@ -196,11 +197,18 @@
     return runners.values();
   }
 
-  /** Returns the runners of a service that accept new requests. */
+  /** Returns the evacuated availability zones, whose runners get no new requests. */
+  public Evacuations evacuations() {
+    return evacuations;
+  }
+
+  /** Returns the runners of a service that accept new requests, in zones that do. */
   public List<Runner> availableRunners(String service) {
     List<Runner> available = new ArrayList<>();
     for (Runner runner : runners.values()) {
-      if (runner.info().service().equals(service) && runner.isAvailable()) {
+      if (runner.info().service().equals(service)
+          && runner.isAvailable()
+          && !evacuations.isEvacuated(runner.info().zone())) {
         available.add(runner);
       }
     }
--- a/core/src/main/java/org/dragonflyhill/core/relay/Service.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Service.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.core.relay;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /** A pool of runners or a store of KV cache. Immutable; no component is null. */
@@ -14,8 +15,19 @@
    * @param name name of the service
    * @param maxConnections maximum number of connections that one runner accepts in total
    * @param engine inference engine of the runners, empty for a plain service
+   * @param coldStart limits of cold runners, empty if runners are never cold
    */
-  record Pool(String name, int maxConnections, Optional<Engine> engine) implements Service {}
+  record Pool(
+      String name, int maxConnections, Optional<Engine> engine, Optional<ColdStart> coldStart)
+      implements Service {}
+
+  /**
+   * Limits of runners that have just started.
+   *
+   * @param time time after the start for which a runner is cold
+   * @param requestsPerSecond requests per second that a cold runner tolerates from all nodes
+   */
+  record ColdStart(Duration time, double requestsPerSecond) {}
 
   /**
    * A store of KV cache.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -75,6 +75,7 @@
     scheduleEvery(RATE_LIMIT_INTERVAL, state::updateRateLimitShares);
     state.metrics().registerGauge("relay.waiting", queue::size);
     state.metrics().registerGauge("relay.rate_limited_runners", state::rateLimitedRunners);
+    state.metrics().registerGauge("relay.cold_runners", state.coldRunners()::count);
     state.metrics().registerGauge("relay.callers", callers::size);
     state.metrics().registerGauge("relay.running", activeRequests::size);
     state.metrics().registerGauge("relay.paused", this::pausedRequests);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -81,6 +81,7 @@
   private final StreamOriginDirectory streamOrigins;
   private final Map<String, ServiceReach> reachByService = new HashMap<>();
   private final ForwardTargets forwardTargets = new ForwardTargets();
+  private final ColdRunners coldRunners;
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
   private boolean isLogReachable;
@@ -113,6 +114,7 @@
     this.retryLimits = retryLimits;
     this.weightsDeadline = weightsDeadline;
     streamOrigins = new StreamOriginDirectory(clock, metrics);
+    coldRunners = new ColdRunners(node, runners, this::coldStart, clock, log, metrics);
     runnerSelector = new RunnerSelector(parts, peers, announcedWeights, weightsDeadline, zone);
   }
 
@@ -136,6 +138,41 @@
     return runners;
   }
 
+  /** Returns the runners that are cold. */
+  public ColdRunners coldRunners() {
+    return coldRunners;
+  }
+
+  private Optional<Service.ColdStart> coldStart(String service) {
+    return configuration.flatMap(known -> known.pool(service)).flatMap(Service.Pool::coldStart);
+  }
+
+  /** Stops sending new requests to the runners of an availability zone. */
+  public void beginEvacuation(String zone) {
+    if (runners.evacuations().begin(zone)) {
+      metrics.count("relay.evacuations");
+      log.info(
+          "evacuation_begun", event -> event.with("zone", zone).with("running", runningIn(zone)));
+    }
+  }
+
+  /** Sends requests to the runners of an availability zone again. */
+  public void endEvacuation(String zone) {
+    if (runners.evacuations().end(zone)) {
+      coldRunners.onEvacuationEnded(zone);
+      log.info(
+          "evacuation_ended", event -> event.with("zone", zone).with("running", runningIn(zone)));
+    }
+  }
+
+  /** Returns the number of requests of this node that run in an availability zone. */
+  private int runningIn(String zone) {
+    return runners.all().stream()
+        .filter(runner -> runner.info().zone().equals(zone))
+        .mapToInt(Runner::running)
+        .sum();
+  }
+
   /** Returns the directory of cached prompt parts. */
   public PartDirectory parts() {
     return parts;
@@ -209,7 +246,13 @@
     runners.all().stream()
         .filter(runner -> runner.info().endpoint().equals(endpoint))
         .toList()
-        .forEach(runner -> recordConnectAttempt(runner, isConnected));
+        .forEach(
+            runner -> {
+              if (isConnected && runner.isEjected() && runner.unreachedAt().isPresent()) {
+                coldRunners.onReachedAgain(runner);
+              }
+              recordConnectAttempt(runner, isConnected);
+            });
   }
 
   private void recordConnectAttempt(Runner runner, boolean isConnected) {
@@ -447,6 +490,7 @@
     final Optional<RunnerInfo> before = runners.find(info.id()).map(Runner::info);
     boolean wasAvailable = runners.find(info.id()).map(Runner::isAvailable).orElse(false);
     boolean isNew = runners.put(info, now());
+    coldRunners.onListed(info);
     if (isNew) {
       parts.forget(info.endpoint());
     }
@@ -622,6 +666,7 @@
   /** Adapts this node's shares of rate limits to the requests that all nodes receive. */
   void updateRateLimitShares() {
     runners.all().forEach(this::updateRateLimitShare);
+    coldRunners.updateShares();
   }
 
   private void updateRateLimitShare(Runner runner) {
@@ -691,17 +736,14 @@
   /** Returns those of {@link #reachable} that their rate limits permit a request to. */
   List<Runner> permitted(String service) {
     Instant now = now();
-    return reachable(service).stream()
-        .filter(runner -> runner.rateLimit().isPermitted(now))
-        .toList();
+    return reachable(service).stream().filter(runner -> runner.isPermitted(now)).toList();
   }
 
   /** Returns when runners of a service that only their rate limits hold back accept requests. */
   Optional<RateLimitForecast> rateLimitForecast(String service) {
     Instant now = now();
     return RateLimitForecast.of(
-        reachable(service).stream().filter(runner -> !runner.rateLimit().isPermitted(now)).toList(),
-        now);
+        reachable(service).stream().filter(runner -> !runner.isPermitted(now)).toList(), now);
   }
 
   /** Returns whether the node is ready to accept connections. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -489,7 +489,7 @@
   private void connect(Attempt chosen) {
     currentAttempt = Optional.of(chosen);
     triedRunners.add(chosen.runner.id());
-    chosen.runner.rateLimit().recordRequest(state.now());
+    chosen.runner.recordDispatch(state.now());
     server
         .runnerConnections()
         .acquire(
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
@@ -14,7 +14,9 @@
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.PeerReport;
 import org.dragonflyhill.core.relay.RateLimitReport;
+import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.RunnerInfo;
+import org.dragonflyhill.core.relay.Service;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
 import org.dragonflyhill.core.relay.WeightsDeadline;
 import org.dragonflyhill.daemon.MonotonicClock;
@@ -99,6 +101,56 @@
     assertEquals(state.reachable("s").size(), 1, "a late report of the process before");
   }
 
+  /**
+   * Guards against requests to an evacuated zone, and against a burst to its runners at the end:
+   * they may have been replaced meanwhile.
+   */
+  @Test
+  public void evacuatedRunnersGetNothingAndReturnCold() {
+    configureColdStart();
+    state.beginEvacuation("z2");
+    assertEquals(state.permitted("s").size(), 1);
+    state.beginEvacuation("z1");
+    assertEquals(state.permitted("s").size(), 0);
+    assertEquals(state.backoffLeft("s"), Optional.empty());
+    state.endEvacuation("z1");
+    assertEquals(state.coldRunners().count(), 1);
+    assertEquals(state.permitted("s").size(), 0, "this node is not registered");
+    assertTrue(state.rateLimitForecast("s").isPresent());
+  }
+
+  /** A runner that could not be reached may be another process, which is cold. */
+  @Test
+  public void runnerReachedAgainCountsAsCold() {
+    configureColdStart();
+    Endpoint endpoint = new Endpoint("10.0.0.1", 80);
+    state.recordConnectAttempt(endpoint, true);
+    assertEquals(state.coldRunners().count(), 0);
+    state.runners().find("r1").orElseThrow().eject(state.now());
+    state.recordConnectAttempt(endpoint, true);
+    assertEquals(state.coldRunners().count(), 1);
+  }
+
+  /** Without limits in the configuration nothing holds requests back from a cold runner. */
+  @Test
+  public void runnersAreNotHeldBackWithoutConfiguredLimits() {
+    state.beginEvacuation("z1");
+    state.endEvacuation("z1");
+    assertEquals(state.coldRunners().count(), 0);
+    assertEquals(state.permitted("s").size(), 1);
+  }
+
+  private void configureColdStart() {
+    var coldStart = Optional.of(new Service.ColdStart(Duration.ofSeconds(3), 14));
+    state.applyConfiguration(
+        new RelayConfiguration(
+            1,
+            List.of(),
+            List.of(new Service.Pool("s", 10, Optional.empty(), coldStart)),
+            List.of(),
+            RelayConfiguration.CallerLimits.DEFAULT));
+  }
+
   /** A rate limit that a peer knows holds here too, for that process of the runner alone. */
   @Test
   public void peersTellRateLimits() {
