Break ties between runners evenly, and compare two when loads are old

Equal runners did not get equal shares: the pseudo-random cost was a multiple of a sum of hash codes, which orders the runners alike for all keys up to a rotation. A mixing hash of both codes replaces it.

With many peers, plain requests now go to the better of two runners chosen at random.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -79,6 +79,11 @@
     return periods.compareTo(limit) > 0 ? periods : limit;
   }
 
+  /** Returns whether there are so many peers that each reports its load only now and then. */
+  public boolean areLoadsOld() {
+    return PeerSchedule.REPORTS.groups(peers.size()) > 1;
+  }
+
   /** Returns the number of nodes that share the runners, including this one. */
   public int nodeCount(Instant now) {
     int nodes = 1;
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
@@ -1,8 +1,11 @@
 package org.dragonflyhill.core.relay;
 
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -77,6 +80,11 @@
   /** Network delay to another availability zone, in seconds. */
   private static final double CROSS_ZONE_SECONDS = 0.002;
 
+  /** Number of runners that are compared for a request if the loads known of peers are old. */
+  private static final int CHOICES_AT_OLD_LOADS = 2;
+
+  private static final Hasher64 HASHER = Hashing.komihash5_0();
+
   private final PartDirectory directory;
   private final PeerTable peers;
   private final FetchSlowdowns fetchSlowdowns = new FetchSlowdowns();
@@ -106,12 +114,16 @@
     this.ownZone = ownZone;
   }
 
-  /** Returns the runner with the lowest cost for a request without a prompt. */
+  /**
+   * Returns the runner with the lowest cost for a request without a prompt. With many peers, whose
+   * loads are known late, two runners chosen at random are compared: all nodes would send to the
+   * least loaded one until they hear of each other's requests.
+   */
   public Optional<Runner> selectForPlainRequest(
       Collection<Runner> runners, String requestId, Instant now) {
     Runner best = null;
     double lowestCost = Double.MAX_VALUE;
-    for (Runner runner : runners) {
+    for (Runner runner : peers.areLoadsOld() ? choices(runners, requestId, now) : runners) {
       double load = (double) running(runner, now) / Math.max(1, runner.info().slots());
       double cost =
           load
@@ -126,6 +138,16 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns two runners chosen by a request's id, of those without a penalty if there are two. */
+  private List<Runner> choices(Collection<Runner> runners, String requestId, Instant now) {
+    return runners.stream()
+        .sorted(
+            Comparator.<Runner>comparingDouble(runner -> penaltySeconds(runner, now))
+                .thenComparingDouble(runner -> tieBreakSeconds(requestId, runner)))
+        .limit(CHOICES_AT_OLD_LOADS)
+        .toList();
+  }
+
   /**
    * Returns the runner with the lowest cost for a prompt and the sources from which it should fetch
    * parts. Runners on which the request would begin too late on replaced weights are left out.
@@ -329,8 +351,10 @@
   }
 
   private static double tieBreakSeconds(String key, Runner runner) {
-    int hash = (key + '\n' + runner.id()).hashCode() * 0x9E3779B9;
-    return (hash >>> 8) * TIE_BREAK_SECONDS / (1 << 24);
+    // A sum of the two hash codes would order the runners alike for all keys, up to a rotation, and
+    // prefer some of them several times as often as others.
+    long hash = HASHER.hashLongLongToLong(key.hashCode(), runner.id().hashCode());
+    return (hash >>> 40) * TIE_BREAK_SECONDS / (1 << 24);
   }
 
   /** Resolves the salt of a request for a weight version. */
--- a/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/PeerReports.java
@@ -17,7 +17,12 @@
 
   /** Returns the first report of a node with load. */
   static PeerReport withLoads(String node, Map<String, PeerReport.Load> loads) {
-    return report(node, "z1", 1, 1, loads, Map.of(), Map.of());
+    return withLoads(node, 1, loads);
+  }
+
+  /** Returns a report of a node with load. */
+  static PeerReport withLoads(String node, long sequence, Map<String, PeerReport.Load> loads) {
+    return report(node, "z1", 1, sequence, loads, Map.of(), Map.of());
   }
 
   /** Returns a report of a node with what it receives and what it knows of rate limits. */
