--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerInfo.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerInfo.java
@@ -59,6 +59,25 @@
         Duration.ZERO);
   }
 
+  /** Returns whether an entry says the same, apart from the time for which the runner is cold. */
+  public boolean isSameExceptColdTime(RunnerInfo other) {
+    return withColdRemaining(Duration.ZERO).equals(other.withColdRemaining(Duration.ZERO));
+  }
+
+  private RunnerInfo withColdRemaining(Duration remaining) {
+    return new RunnerInfo(
+        id,
+        service,
+        endpoint,
+        zone,
+        slots,
+        isDraining,
+        weightVersions,
+        softwareVersion,
+        startedAtMillis,
+        remaining);
+  }
+
   /** Returns whether an entry describes the same process instance of the same runner. */
   public boolean isSameInstance(RunnerInfo other) {
     return id.equals(other.id)
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ColdRunners.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ColdRunners.java
@@ -72,12 +72,13 @@
     }
   }
 
-  /** Records what an entry of the host list says. */
-  void onListed(RunnerInfo info) {
-    runners
+  /** Records what an entry of the host list says; returns whether its runner was not yet cold. */
+  boolean onListed(RunnerInfo info) {
+    return runners
         .find(info.id())
         .filter(runner -> info.coldRemaining().isPositive())
-        .ifPresent(runner -> recordCold(runner, info.coldRemaining(), "host list"));
+        .filter(runner -> recordCold(runner, info.coldRemaining(), "host list"))
+        .isPresent();
   }
 
   /**
@@ -101,10 +102,10 @@
         .ifPresent(coldStart -> recordCold(runner, coldStart.time(), source));
   }
 
-  private void recordCold(Runner runner, Duration remaining, String source) {
+  private boolean recordCold(Runner runner, Duration remaining, String source) {
     Instant now = clock.instant();
     if (!runner.coldStart().recordCold(remaining, now)) {
-      return;
+      return false;
     }
     updateShare(runner, now);
     metrics.count("relay.runner_cold");
@@ -117,6 +118,7 @@
                 .with("left_ms", runner.coldStart().remaining(now).toMillis())
                 .with("share_per_second", runner.coldStart().sharePerSecond())
                 .with("source", source));
+    return true;
   }
 
   /** Returns the number of runners that count as cold. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -483,14 +483,14 @@
   }
 
   /**
-   * Adds a runner of the host list or updates its entry. Returns whether the entry differs from the
-   * one before.
+   * Adds a runner of the host list or updates its entry. Returns whether the entry says anything
+   * new; that a cold runner has less time left is not.
    */
   public boolean addOrUpdateRunner(RunnerInfo info) {
     final Optional<RunnerInfo> before = runners.find(info.id()).map(Runner::info);
     boolean wasAvailable = runners.find(info.id()).map(Runner::isAvailable).orElse(false);
     boolean isNew = runners.put(info, now());
-    coldRunners.onListed(info);
+    final boolean isNewlyCold = coldRunners.onListed(info);
     if (isNew) {
       parts.forget(info.endpoint());
     }
@@ -506,7 +506,7 @@
                   .with("weights", info.weightVersions())
                   .with("software", info.softwareVersion().orElse("unknown")));
     }
-    return !before.equals(Optional.of(info));
+    return isNewlyCold || before.filter(info::isSameExceptColdTime).isEmpty();
   }
 
   /**
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/RelayStateTest.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.daemon.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -140,6 +141,33 @@
     assertEquals(state.permitted("s").size(), 1);
   }
 
+  /**
+   * Guards against entries of cold runners that count as new with each heartbeat: every node would
+   * have to read the host list itself.
+   */
+  @Test
+  public void onlyTheStartOfAColdTimeIsNews() {
+    configureColdStart();
+    assertTrue(listCold(2_000));
+    assertFalse(listCold(800));
+    assertFalse(listCold(0));
+  }
+
+  private boolean listCold(long millis) {
+    return state.addOrUpdateRunner(
+        new RunnerInfo(
+            "r1",
+            "s",
+            new Endpoint("10.0.0.1", 80),
+            "z1",
+            8,
+            false,
+            Map.of("m", 1L),
+            Optional.empty(),
+            1,
+            Duration.ofMillis(millis)));
+  }
+
   private void configureColdStart() {
     var coldStart = Optional.of(new Service.ColdStart(Duration.ofSeconds(3), 14));
     state.applyConfiguration(
