Learn the prefill rate of each runner and its service

Estimates of the time to first token used the prefill rate and the time of a running request of one deployment, so admission and selection were wrong where runners are faster or slower, and for single slow runners.

ServiceCapacity and RunnerCapacity learn both from the measured times, starting from the former constants. Each sample has a bounded influence, faster ones count more since measured times contain queueing, and what was learned decays.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -48,6 +48,7 @@
   private final Map<String, Long> weightVersions = new HashMap<>();
   private final FailureScore failureScore = new FailureScore();
   private final RunnerRateLimit rateLimit = new RunnerRateLimit();
+  private final RunnerCapacity capacity;
   private int running;
   private int unanswered;
   private final RankedTokens prefillTokens = new RankedTokens();
@@ -64,8 +65,14 @@
   private boolean isMarkedDraining;
   private boolean isChangingWeights;
 
+  /** Creates a runner that shares what is learned with no other. */
   Runner(RunnerInfo info, Instant now) {
+    this(info, new ServiceCapacity(), now);
+  }
+
+  Runner(RunnerInfo info, ServiceCapacity serviceCapacity, Instant now) {
     this.info = info;
+    capacity = new RunnerCapacity(serviceCapacity);
     weightVersions.putAll(info.weightVersions());
     lastActivityAt = now;
   }
@@ -342,8 +349,34 @@
    */
   public void recordTimeToFirstToken(double seconds, double expected) {
     double ratio = (seconds + FIXED_SECONDS) / (expected / slowness + FIXED_SECONDS);
-    double clipped = Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, ratio));
-    slowness += SLOWNESS_WEIGHT * (clipped - slowness);
+    slowness += SLOWNESS_WEIGHT * (clipSlowness(ratio) - slowness);
+  }
+
+  private static double clipSlowness(double ratio) {
+    return Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, ratio));
+  }
+
+  /**
+   * Updates the capacity from a time to first token of a request that neither fetched nor waited
+   * for memory. What the deviation now expresses is removed from the slowness, or it would count
+   * twice until the slowness has followed.
+   *
+   * @param prefillTokens tokens that the runner had to prefill
+   * @param runningBefore number of requests that were running at the runner
+   * @param queueSeconds estimated time for the prompts of other requests
+   * @param seconds measured time
+   * @param now present time
+   */
+  void learnCapacity(
+      long prefillTokens, int runningBefore, double queueSeconds, double seconds, Instant now) {
+    double before = capacity.deviation(now);
+    capacity.record(prefillTokens, runningBefore, queueSeconds, seconds, now);
+    slowness = clipSlowness(slowness * capacity.deviation(now) / before);
+  }
+
+  /** Returns the learned capacity. */
+  public RunnerCapacity capacity() {
+    return capacity;
   }
 
   /** Returns the moving average of measured relative to nominal times to first token. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
@@ -14,9 +14,6 @@
  */
 public final class RunnerSelector {
 
-  /** Prompt tokens that a runner prefills per second, from the platform specification. */
-  public static final double PREFILL_TOKENS_PER_SECOND = 85_200;
-
   /** Minimum duration of a fetch, in seconds. */
   private static final double MIN_FETCH_SECONDS = 0.002;
 
@@ -35,9 +32,6 @@
    */
   private static final double CROSS_ZONE_FACTOR = 2;
 
-  /** Time that each running request adds to the time to first token, in seconds. */
-  private static final double SECONDS_PER_RUNNING = 0.004;
-
   /**
    * Fraction of the queued prompt tokens of less urgent requests that is prefilled before a more
    * urgent request.
@@ -158,6 +152,7 @@
     long version = runner.weightVersion(request.prompt().model());
     String salt = request.saltResolver().salt(version);
     Endpoint endpoint = runner.info().endpoint();
+    final double tokensPerSecond = runner.capacity().prefillTokensPerSecond(now);
     int leading = directory.leadingParts(endpoint, salt, shared, now);
     long present = sumTokens(shared.subList(0, leading));
     List<Optional<Endpoint>> fetchSources = new ArrayList<>();
@@ -187,18 +182,16 @@
         prefillTokensAhead(runner, Runner.RANKS, now) - prefillTokensAhead;
     final double memorySeconds = memorySeconds(request, runner, now);
     final long preemptedTokens = preemptedTokens(request, runner, now);
+    final double queueSeconds =
+        (prefillTokensAhead + prefillTokensBehind * LESS_URGENT_PREFILL_SHARE) / tokensPerSecond;
     double waitSeconds =
-        (prefillTokensAhead + prefillTokensBehind * LESS_URGENT_PREFILL_SHARE)
-                / PREFILL_TOKENS_PER_SECOND
-            + running * SECONDS_PER_RUNNING
-            + memorySeconds;
+        queueSeconds + running * runner.capacity().secondsPerRunning(now) + memorySeconds;
     double firstTokenSeconds =
-        (waitSeconds + fetchSeconds + prefillTokens / PREFILL_TOKENS_PER_SECOND)
-            * runner.slowness();
+        (waitSeconds + fetchSeconds + prefillTokens / tokensPerSecond) * runner.slowness();
     double cost =
         firstTokenSeconds
             + recomputedTokens * RECOMPUTE_SECONDS_PER_TOKEN
-            + preemptedTokens / PREFILL_TOKENS_PER_SECOND
+            + preemptedTokens / tokensPerSecond
             + preemptedTokens * RECOMPUTE_SECONDS_PER_TOKEN
             + penaltySeconds(runner, now)
             + crossZoneSeconds(runner)
@@ -214,6 +207,8 @@
         sourcesOfMissing,
         prefillTokens,
         prefillTokensAhead,
+        tokensPerSecond,
+        queueSeconds,
         memorySeconds,
         preemptedTokens,
         fetchSeconds,
@@ -240,7 +235,8 @@
       Request request, Runner runner, Prompt.Part part, List<Source> sources, Instant now) {
     Source best = null;
     double lowestCost =
-        part.tokens() / PREFILL_TOKENS_PER_SECOND + part.tokens() * RECOMPUTE_SECONDS_PER_TOKEN;
+        part.tokens() / runner.capacity().prefillTokensPerSecond(now)
+            + part.tokens() * RECOMPUTE_SECONDS_PER_TOKEN;
     for (Source source : sources) {
       if (source.endpoint().equals(runner.info().endpoint())) {
         continue;
@@ -256,7 +252,10 @@
     return Optional.ofNullable(best);
   }
 
-  /** Updates the slowness of the runner or of the fetch sources from a time to first token. */
+  /**
+   * Updates the slowness and the capacity of the runner, or the slowness of the fetch sources, from
+   * a time to first token.
+   */
   public void recordTimeToFirstToken(Selection selection, double seconds, Instant now) {
     if (selection.fetchSeconds() > selection.firstTokenSeconds() * SLOW_FETCH_SHARE) {
       double otherSeconds = selection.firstTokenSeconds() - selection.fetchSeconds();
@@ -272,6 +271,20 @@
       return;
     }
     selection.runner().recordTimeToFirstToken(seconds, selection.firstTokenSeconds());
+    boolean hadAllAtOnce =
+        selection.fetchSeconds() == 0
+            && selection.memorySeconds() == 0
+            && selection.preemptedTokens() == 0;
+    if (hadAllAtOnce) {
+      selection
+          .runner()
+          .learnCapacity(
+              selection.prefillTokens(),
+              selection.running(),
+              selection.queueSeconds(),
+              seconds,
+              now);
+    }
   }
 
   private static long sumTokens(List<Prompt.Part> parts) {
@@ -379,6 +392,8 @@
    * @param sourcesOfMissing sources of the parts that the runner is expected to lack
    * @param prefillTokens prompt tokens that the runner has to prefill
    * @param prefillTokensAhead tokens of other prompts that the runner prefills first
+   * @param prefillTokensPerSecond estimated prefill rate of the runner
+   * @param queueSeconds estimated time for the prompts of other requests, without slowness
    * @param memorySeconds estimated wait for memory
    * @param preemptedTokens tokens of other requests that the request would preempt from memory
    * @param fetchSeconds estimated duration of the fetches
@@ -394,6 +409,8 @@
       List<Endpoint> sourcesOfMissing,
       long prefillTokens,
       long prefillTokensAhead,
+      double prefillTokensPerSecond,
+      double queueSeconds,
       double memorySeconds,
       long preemptedTokens,
       double fetchSeconds,
@@ -405,7 +422,8 @@
     public String explanation() {
       String form =
           "first token expected in %d ms at runner %s: %d running, slowness %.2f, tokens to prefill"
-              + " %d and %d ahead, memory wait %d ms, %d tokens preempted, fetches %d ms";
+              + " %d and %d ahead, memory wait %d ms, %d tokens preempted, fetches %d ms, prefill"
+              + " rate %d tokens/s";
       return form.formatted(
           millis(firstTokenSeconds),
           runner.id(),
@@ -415,7 +433,8 @@
           prefillTokensAhead,
           millis(memorySeconds),
           preemptedTokens,
-          millis(fetchSeconds));
+          millis(fetchSeconds),
+          Math.round(prefillTokensPerSecond));
     }
 
     private static long millis(double seconds) {
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
@@ -41,6 +41,7 @@
 
   private final Map<String, Runner> runners = new LinkedHashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
+  private final Map<String, ServiceCapacity> capacities = new HashMap<>();
   private final SoftwareVersions softwareVersions = new SoftwareVersions();
   private Optional<Instant> hostListRestoredAt = Optional.empty();
   private Instant currentAt = Instant.MIN;
@@ -78,7 +79,9 @@
     }
     softwareVersions.recordListed(now);
     departures.remove(info.id());
-    runners.put(info.id(), new Runner(info, now));
+    ServiceCapacity capacity =
+        capacities.computeIfAbsent(info.service(), any -> new ServiceCapacity());
+    runners.put(info.id(), new Runner(info, capacity, now));
     return true;
   }
 
