Admit an eighth of a runner's slots without an estimate

The limit of 8 running requests below which nothing is refused was made for 64 slots. At 16 slots it is half of a runner, and bursts were hardly refused.

The limit is an eighth of the slots now, at least 2: 8 of 64 as before, 4 of 32, 2 of 16.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
@@ -32,10 +32,13 @@
   public static final Duration CONTINUATION_LATENCY_LIMIT = Duration.ofMillis(1_500);
 
   /**
-   * Number of running requests up to which a runner refuses nothing, because it still has free
-   * slots.
+   * Fraction of a runner's slots up to which running requests lead to no refusal, because the
+   * runner still has free slots.
    */
-  public static final int ALWAYS_ADMITTED_RUNNING = 8;
+  public static final double ALWAYS_ADMITTED_SHARE = 1.0 / 8;
+
+  /** Number of running requests up to which a runner of any size refuses nothing. */
+  public static final int MIN_ALWAYS_ADMITTED_RUNNING = 2;
 
   /**
    * Maximum number of tokens that a request may preempt from a runner's KV memory; equals one piece
@@ -72,7 +75,7 @@
    */
   public static Optional<Duration> refusal(
       RunnerSelector.Selection selection, Duration targetLatency, Standing standing) {
-    if (selection.running() <= ALWAYS_ADMITTED_RUNNING) {
+    if (isAlwaysAdmitted(selection)) {
       return Optional.empty();
     }
     Duration minLimit =
@@ -89,13 +92,17 @@
         : Optional.empty();
   }
 
+  private static boolean isAlwaysAdmitted(RunnerSelector.Selection selection) {
+    double share = selection.runner().info().slots() * ALWAYS_ADMITTED_SHARE;
+    return selection.running() <= Math.max(MIN_ALWAYS_ADMITTED_RUNNING, share);
+  }
+
   /**
    * Returns whether the selected runner can take the request without preempting more than {@link
    * #MAX_PREEMPTED_TOKENS} of the requests running there.
    */
   public static boolean hasRoom(RunnerSelector.Selection selection) {
-    return selection.running() <= ALWAYS_ADMITTED_RUNNING
-        || selection.preemptedTokens() <= MAX_PREEMPTED_TOKENS;
+    return isAlwaysAdmitted(selection) || selection.preemptedTokens() <= MAX_PREEMPTED_TOKENS;
   }
 
   /** Returns the maximum time that a request may wait at the node for runner memory. */
