Show the error of estimated times to first token

An operator could not compare the estimates that admission uses with what was measured. The histogram relay.first_token_error_ms holds measured minus estimated milliseconds; two gauges give its median and 90th percentile.

Only successful answers count now, for the slowness and the capacity too: a runner that fails at once seemed to be a fast one.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/NodeMetrics.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/NodeMetrics.java
@@ -1,6 +1,7 @@
 package org.dragonflyhill.daemon;
 
 import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import com.codahale.metrics.json.MetricsModule;
@@ -78,6 +79,11 @@
     return registry.timer("stage." + stage);
   }
 
+  /** Returns the histogram of the given name, in which recent values weigh more. */
+  public Histogram histogram(String name) {
+    return registry.histogram(name);
+  }
+
   /** Registers a gauge that reads its value from a supplier. */
   public void registerGauge(String name, Supplier<Number> value) {
     registry.gauge(name, () -> (Gauge<Number>) value::get);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -74,6 +74,7 @@
   private final PeerTable peers = new PeerTable();
   private final PartPlacement partPlacement = new PartPlacement(parts);
   private final RunnerSelector runnerSelector;
+  private final FirstTokenErrors firstTokenErrors;
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private final AnnouncedWeights announcedWeights = new AnnouncedWeights();
   private final WeightsDeadline weightsDeadline;
@@ -113,6 +114,7 @@
     this.retryLimits = retryLimits;
     this.weightsDeadline = weightsDeadline;
     streamOrigins = new StreamOriginDirectory(clock, metrics);
+    firstTokenErrors = new FirstTokenErrors(metrics);
     runnerSelector = new RunnerSelector(parts, peers, announcedWeights, weightsDeadline, zone);
   }
 
@@ -402,6 +404,13 @@
     return runnerSelector;
   }
 
+  /** Records the beginning of a successful answer, also in the metric of the estimate's error. */
+  void recordTimeToFirstToken(RunnerSelector.Selection selection, Instant sentAt, Instant now) {
+    double seconds = Duration.between(sentAt, now).toNanos() / 1e9;
+    firstTokenErrors.record(selection.firstTokenSeconds(), seconds);
+    runnerSelector.recordTimeToFirstToken(selection, seconds, now);
+  }
+
   /** Returns the configuration in force. */
   public Optional<RelayConfiguration> configuration() {
     return configuration;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -1237,11 +1237,8 @@
         answeredAt = now;
         isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
         runner.answerStarted(rank(), prefillTokens(), now);
-        if (selection != null && !responseHeaders.isNotRun()) {
-          state
-              .runnerSelector()
-              .recordTimeToFirstToken(
-                  selection, Duration.between(sentAt, now).toNanos() / 1e9, now);
+        if (selection != null && isSuccess) {
+          state.recordTimeToFirstToken(selection, sentAt, now);
         }
       }
       requestHeaders
