--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerTable.java
@@ -41,6 +41,7 @@
 
   private final Map<String, Runner> runners = new LinkedHashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
+  private final Map<String, ServiceCapacity> capacities = new HashMap<>();
   private final SoftwareVersions softwareVersions = new SoftwareVersions();
   private final Evacuations evacuations = new Evacuations();
   private Optional<Instant> hostListRestoredAt = Optional.empty();
@@ -79,7 +80,9 @@
     }
     softwareVersions.recordListed(now);
     departures.remove(info.id());
-    runners.put(info.id(), new Runner(info, now));
+    ServiceCapacity capacity =
+        capacities.computeIfAbsent(info.service(), any -> new ServiceCapacity());
+    runners.put(info.id(), new Runner(info, capacity, now));
     return true;
   }
 
