Move the state of an attempt out of RelayedRequest

Tests that pass: RunnerSilenceTest, RelayTest, EndlessResponseTest, CrashingRequestTest, CrashingPromptTest, RepeatedResponseTest, RunnerRateLimitTest, RelayLifecycleTest, CutOffNodeTest, SoftwareVersionTest.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -24,13 +24,11 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.Admission;
 import org.dragonflyhill.core.relay.AttemptLimit;
 import org.dragonflyhill.core.relay.CrashSuspects;
-import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.EventStream;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.Prompt;
@@ -69,15 +67,6 @@
   /** Number of peers that may be asked to serve a request. */
   private static final int MAX_PEERS = 2;
 
-  /** Pause within a resumable stream after which another runner is asked to resume it. */
-  private static final Duration STREAM_IDLE_TIMEOUT = Duration.ofMillis(1_200);
-
-  /**
-   * Time after which a silent attempt is cancelled if the runner that was asked instead has not
-   * answered. Both must not run for longer than the 400 ms of the platform specification.
-   */
-  private static final Duration HANDOVER_TIMEOUT = Duration.ofMillis(300);
-
   /**
    * Difference between the timeout of the route and the caller's remaining time above which the
    * request counts as a retry by the caller. A caller that retries has used up at least this time.
@@ -90,9 +79,6 @@
   /** Age of an answer from which its prompt is not the cause of a later crash. */
   private static final Duration SOUND_ANSWER_AGE = Duration.ofSeconds(1);
 
-  /** Time after sending within which fetches must end, since the parts may be freed afterwards. */
-  private static final Duration MAX_FETCH_TIME = Duration.ofMillis(2_000);
-
   /** Statuses that promise, by the platform specification, that the request has not run. */
   private static final Set<Integer> NOT_RUN_STATUSES =
       Set.of(
@@ -683,7 +669,7 @@
                 timeLeft(now),
                 organisation.map(Organisation::name),
                 urgency(),
-                chosen.cacheInstructions(requestHeaders.prompt()),
+                chosen.cacheInstructions(),
                 lastEventId));
     attempts.recordSent();
     hasUnusedRetry = false;
@@ -1063,102 +1049,14 @@
     }
   }
 
-  /**
-   * An attempt to run the request on one runner. Its selection is null for requests without a
-   * prompt and for services that are not model runners.
-   */
-  private final class Attempt implements RunnerConnection.ResponseListener {
-
-    private final Runner runner;
-    private final RunnerSelector.Selection selection;
-    private Optional<RunnerConnection> connection = Optional.empty();
-    private Instant lastActivityAt = Instant.MAX;
-    private Instant sentAt = Instant.MAX;
-    private Instant answeredAt = Instant.MAX;
-    private boolean hasResponse;
-    private boolean isSilenceReported;
+  /** An attempt to run this request on one runner, which relays the response to the caller. */
+  private final class Attempt extends RunnerAttempt {
+
     private boolean isSuccess;
     private boolean isSoundRecorded;
-    private boolean isEnded;
 
     Attempt(Runner runner, RunnerSelector.Selection selection) {
-      this.runner = runner;
-      this.selection = selection;
-    }
-
-    Optional<HeaderCodec.CacheInstructions> cacheInstructions(Optional<Prompt> prompt) {
-      if (selection == null || prompt.isEmpty()) {
-        return Optional.empty();
-      }
-      // The salt was derived from this version; the runner may have reported a newer one since.
-      final long version = selection.weightVersion();
-      List<Optional<Endpoint>> fetchSources = new ArrayList<>(selection.fetchSources());
-      while (fetchSources.size() < prompt.get().parts().size()) {
-        fetchSources.add(Optional.empty());
-      }
-      List<Optional<Endpoint>> saveTargets =
-          new ArrayList<>(state.saveTargets(selection.salt(), prompt.get().sharedParts()));
-      while (!saveTargets.isEmpty() && saveTargets.size() < prompt.get().parts().size()) {
-        saveTargets.add(Optional.empty());
-      }
-      OptionalLong runnerClock = state.runnerClockMillis();
-      if (runnerClock.isEmpty()) {
-        // Without a deadline, a fetch could read parts while they are being freed.
-        fetchSources.replaceAll(any -> Optional.empty());
-      }
-      return Optional.of(
-          new HeaderCodec.CacheInstructions(
-              selection.salt(),
-              version == 0 ? OptionalLong.empty() : OptionalLong.of(version),
-              fetchSources,
-              runnerClock.isPresent()
-                  ? OptionalLong.of(runnerClock.getAsLong() + MAX_FETCH_TIME.toMillis())
-                  : OptionalLong.empty(),
-              saveTargets));
-    }
-
-    private long prefillTokens() {
-      return selection == null ? 0 : selection.prefillTokens();
-    }
-
-    private long memoryTokens() {
-      return selection == null ? 0 : requestHeaders.prompt().map(Prompt::memoryTokens).orElse(0);
-    }
-
-    void onSent(RunnerConnection used, Instant now) {
-      connection = Optional.of(used);
-      lastActivityAt = now;
-      sentAt = now;
-      runner.requestSent(rank(), prefillTokens(), memoryTokens(), now);
-      if (selection != null) {
-        state.expectParts(
-            runner.info().endpoint(),
-            selection.salt(),
-            requestHeaders.prompt().get().sharedParts());
-      }
-    }
-
-    /** Pauses reading the response or continues; the runner's silence is measured anew then. */
-    void pauseReading(boolean isPaused) {
-      if (connection.isPresent()) {
-        connection.get().pauseReading(isPaused);
-        lastActivityAt = state.now();
-      }
-    }
-
-    /** Returns whether the runner sends nothing, as far as this node reads what it sends. */
-    boolean isSilent(Instant now) {
-      if (connection.isEmpty() || connection.get().isReadingPaused()) {
-        return false;
-      }
-      return hasResponse
-          ? Duration.between(lastActivityAt, now).compareTo(STREAM_IDLE_TIMEOUT) > 0
-          : state.isSilent(runner, selection != null)
-              && Duration.between(lastActivityAt, now).compareTo(Runner.SILENCE_TIMEOUT) > 0;
-    }
-
-    private Duration answerAge() {
-      return Duration.between(answeredAt, state.now());
+      super(state, runner, selection, requestHeaders.prompt(), rank());
     }
 
     /** Records the answer as sound once it has gone on for long enough. */
@@ -1177,46 +1075,6 @@
       state.crashSuspects().recordSoundAnswer(keys, answeredAt);
     }
 
-    /** Returns whether the runner had time to answer before a silent attempt is cancelled. */
-    boolean isHandoverOver(Instant now) {
-      return connection.isPresent()
-          && Duration.between(sentAt, now).compareTo(HANDOVER_TIMEOUT) > 0;
-    }
-
-    /**
-     * Returns whether the request was sent but has not begun, and its runner's weights were
-     * replaced so long ago that it must not begin on them any more.
-     */
-    boolean hasOutlivedWeights(Instant now) {
-      return selection != null
-          && connection.isPresent()
-          && !hasResponse
-          && state
-              .weightsDeadline()
-              .mustCancel(
-                  state
-                      .announcedWeights()
-                      .replacedAt(requestHeaders.prompt().get().model(), selection.weightVersion()),
-                  now);
-    }
-
-    void cancel() {
-      if (!isEnded && connection.isPresent()) {
-        RunnerConnection used = connection.get();
-        releaseLoad();
-        used.cancel();
-      }
-      isEnded = true;
-    }
-
-    /** Ends the attempt and removes its load from the runner, once. */
-    private void releaseLoad() {
-      if (!isEnded) {
-        isEnded = true;
-        runner.requestEnded(hasResponse, rank(), prefillTokens(), memoryTokens());
-      }
-    }
-
     @Override
     public void onActivity() {
       lastActivityAt = state.now();
