Send second copies of late requests within an operator's share

A runner that stalls for less than the 900 ms after which it counts as silent makes its requests late, and no other runner is asked.

A request that may repeat and has waited for longer than the 0.95 quantile of its route's recent times to first response is now sent to a second runner. The first response wins and the other copy is cancelled. Each node decides for its own requests, within DRAGONFLYHILL_HEDGE_SHARE of them, which is 0 (off) by default, and within the retry budget and max_attempts. The attempt that waits is kept as a silent one is. HedgeDelay derives its delay from the same quantile, so there is one tracker of times.

--- a/core/src/main/java/org/dragonflyhill/core/HedgeDelay.java
+++ b/core/src/main/java/org/dragonflyhill/core/HedgeDelay.java
@@ -1,17 +1,18 @@
 package org.dragonflyhill.core;
 
 import java.time.Duration;
+import java.time.Instant;
+import org.dragonflyhill.core.relay.FirstResponseTimes;
 
 /**
  * Computes how long to wait for the first chunk of a response before a hedge request is sent.
  *
- * <p>The delay is the estimated time to the first chunk multiplied by an adaptive factor. The
- * factor rises quickly when a first chunk takes longer than the delay and falls slowly otherwise,
- * so that about one first chunk in twenty takes longer than the delay.
+ * <p>About one first chunk in twenty takes longer than the delay, according to the recent times of
+ * {@link FirstResponseTimes}. Until these are known, the delay is a multiple of the estimate.
  *
  * <pre>{@code
- * Duration delay = hedgeDelay.delay(estimate);
- * hedgeDelay.recordFirstChunk(estimate, actual);
+ * Duration delay = hedgeDelay.delay(estimate, now);
+ * hedgeDelay.recordFirstChunk(estimate, actual, now);
  * }</pre>
  *
  * <p>Thread-safe. Arguments must not be null.
@@ -19,26 +20,24 @@
 public final class HedgeDelay {
 
   /** Minimum delay; a shorter one would send hedge requests because of ordinary latency jitter. */
-  public static final Duration MIN_DELAY = Duration.ofMillis(50);
+  public static final Duration MIN_DELAY = FirstResponseTimes.MIN_DELAY;
 
-  private static final double INITIAL_FACTOR = 2.0;
-  private static final double MIN_FACTOR = 1.2;
-  private static final double MAX_FACTOR = 10.0;
-  private static final double INCREASE_FACTOR = 1.19;
-  private static final double DECREASE_FACTOR = 0.99;
+  private static final int INITIAL_FACTOR = 2;
 
-  private double factor = INITIAL_FACTOR;
+  private final FirstResponseTimes times = new FirstResponseTimes();
 
   /** Records the estimated and the actual time to a first chunk. */
-  public synchronized void recordFirstChunk(Duration estimate, Duration actual) {
-    boolean isLate = actual.compareTo(delay(estimate)) > 0;
-    factor =
-        Math.clamp(factor * (isLate ? INCREASE_FACTOR : DECREASE_FACTOR), MIN_FACTOR, MAX_FACTOR);
+  public synchronized void recordFirstChunk(Duration estimate, Duration actual, Instant now) {
+    times.record(estimate, actual, now);
   }
 
   /** Returns the time to wait for the first chunk before a hedge request is sent. */
-  public synchronized Duration delay(Duration estimate) {
-    Duration scaled = Duration.ofNanos((long) (estimate.toNanos() * factor));
+  public synchronized Duration delay(Duration estimate, Instant now) {
+    return times.delay(estimate, now).orElseGet(() -> initialDelay(estimate));
+  }
+
+  private static Duration initialDelay(Duration estimate) {
+    Duration scaled = estimate.multipliedBy(INITIAL_FACTOR);
     return scaled.compareTo(MIN_DELAY) > 0 ? scaled : MIN_DELAY;
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/CompletionRun.java
@@ -101,7 +101,10 @@
     }
     Flux<RunnerEvent> hedge =
         Flux.defer(() -> hedge(attempt))
-            .delaySubscription(dependencies.hedgeDelay().delay(estimatedFirstToken(attempt)));
+            .delaySubscription(
+                dependencies
+                    .hedgeDelay()
+                    .delay(estimatedFirstToken(attempt), dependencies.clock().instant()));
     return Flux.firstWithValue(primary, hedge);
   }
 
@@ -170,7 +173,7 @@
     if (lastChunkAt.isEmpty() && attempts == 1) {
       dependencies
           .hedgeDelay()
-          .recordFirstChunk(estimatedFirstToken(primary), Duration.between(startedAt, now));
+          .recordFirstChunk(estimatedFirstToken(primary), Duration.between(startedAt, now), now);
       if (received.attempt() != primary) {
         dependencies.metrics().count("hedge.won");
       }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -159,13 +159,18 @@
     verifiedAt
         .values()
         .removeIf(at -> Duration.between(at, now).compareTo(MIN_VERIFICATION_INTERVAL) >= 0);
-    state.runnersToVerify().stream()
-        .filter(runner -> verifiedAt.putIfAbsent(runner.id(), now) == null)
-        .forEach(this::probe);
+    state.runnersToVerify().stream().forEach(this::verify);
     state.parts().expireExpectations(now);
     state.onRunnersRemoved(state.runners().removeExpired(now));
   }
 
+  /** Checks whether a runner is reachable unless that was checked a moment ago. */
+  void verify(Runner runner) {
+    if (verifiedAt.putIfAbsent(runner.id(), state.now()) == null) {
+      probe(runner);
+    }
+  }
+
   /**
    * Checks whether a runner is reachable again by opening a connection to it, so that no request
    * has to wait for the attempt.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -23,6 +23,7 @@
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.ForwardTargets;
+import org.dragonflyhill.core.relay.HedgePolicy;
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PartChangeLog;
 import org.dragonflyhill.core.relay.PartDirectory;
@@ -81,6 +82,7 @@
   private final StreamOriginDirectory streamOrigins;
   private final Map<String, ServiceReach> reachByService = new HashMap<>();
   private final ForwardTargets forwardTargets = new ForwardTargets();
+  private Optional<HedgePolicy> hedgePolicy = Optional.empty();
   private Optional<RelayConfiguration> configuration = Optional.empty();
   private boolean isStopping;
   private boolean isLogReachable;
@@ -500,6 +502,16 @@
     return retryBudgets.computeIfAbsent(service, any -> new SharedRetryBudget(retryLimits));
   }
 
+  /** Sets whether and how second copies of late requests are sent; empty for none. */
+  public void useHedging(Optional<HedgePolicy> policy) {
+    hedgePolicy = policy;
+  }
+
+  /** Returns the policy for second copies of late requests, empty if none are sent. */
+  Optional<HedgePolicy> hedgePolicy() {
+    return hedgePolicy;
+  }
+
   /** Returns the number of nodes that share the runners, at least {@link #MIN_NODES}. */
   public int nodeCount() {
     return Math.max(MIN_NODES, peers.nodeCount(now()));
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -30,6 +30,8 @@
 import org.dragonflyhill.core.relay.AttemptLimit;
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.EventStream;
+import org.dragonflyhill.core.relay.HedgeDenial;
+import org.dragonflyhill.core.relay.HedgePolicy;
 import org.dragonflyhill.core.relay.Organisation;
 import org.dragonflyhill.core.relay.Prompt;
 import org.dragonflyhill.core.relay.RateLimitForecast;
@@ -124,9 +126,12 @@
   private final Set<String> triedPeers = new HashSet<>();
   private boolean isCounted;
 
-  /** An attempt whose runner fell silent, kept until the current attempt replaces it. */
+  /** An attempt whose runner fell silent or is late, kept until the current attempt replaces it. */
   private Optional<Attempt> silentAttempt = Optional.empty();
 
+  /** The second copy that may be sent of this request, empty if none may. */
+  private Optional<RequestHedge> hedge = Optional.empty();
+
   private boolean mayHaveRun;
   private boolean isQueued;
   private Instant waitUntil = Instant.MAX;
@@ -274,9 +279,17 @@
       return;
     }
     pool = foundPool.get();
+    boolean isTakenUp = streamBinding.isBound() || requestHeaders.lastEventId().isPresent();
+    if (route.isRepeatable() && !caller.isPeer() && !isTakenUp) {
+      hedge = state.hedgePolicy().map(this::hedgeUnder);
+    }
     dispatch();
   }
 
+  private RequestHedge hedgeUnder(HedgePolicy policy) {
+    return new RequestHedge(server, policy, route, pool.name(), id(), requestHeaders.prompt());
+  }
+
   private boolean isAuthorised() {
     if (!configuration.hasOrganisations()) {
       return true;
@@ -364,6 +377,7 @@
     if (!isCounted) {
       isCounted = true;
       state.retryBudget(pool.name()).recordRequest(now);
+      state.hedgePolicy().ifPresent(policy -> policy.recordRequest(pool.name()));
     }
   }
 
@@ -945,6 +959,46 @@
     if (isReplaceable && silentAttempt.isEmpty()) {
       currentAttempt.filter(current -> current.isSilent(now)).ifPresent(this::handOver);
     }
+    if (hedge.isPresent() && silentAttempt.isEmpty() && triedPeers.isEmpty()) {
+      currentAttempt
+          .filter(current -> hedge.get().isDue(current, attempts.sent(), now))
+          .ifPresent(current -> sendCopy(current, hedge.get(), now));
+    }
+  }
+
+  /** Sends a second copy of a late request to another runner if the policy permits it. */
+  private void sendCopy(Attempt late, RequestHedge copyOf, Instant now) {
+    Optional<HedgeDenial> denial =
+        isSuspect() || findRetryObstacle(now).isPresent()
+            ? Optional.of(HedgeDenial.NOT_RETRIABLE)
+            : Optional.empty();
+    Optional<Attempt> copy =
+        denial.isPresent()
+            ? Optional.empty()
+            : chooseRunner(copyOf.candidates(untriedRunners(), now), now);
+    denial =
+        denial
+            .or(() -> copyOf.denial(late, copy, now))
+            .or(() -> spendRetry(now).map(any -> HedgeDenial.RETRY_BUDGET));
+    if (denial.isPresent()) {
+      copyOf.onDenied(late, denial.get(), now);
+      return;
+    }
+    copyOf.onSent(late, copy.get(), now);
+    keepWhileAsking(late, copy.get());
+  }
+
+  /** Asks another runner while an attempt is kept that may have run. */
+  private void keepWhileAsking(Attempt kept, Attempt next) {
+    mayHaveRun = true;
+    silentAttempt = Optional.of(kept);
+    connect(next);
+  }
+
+  /** Returns whether an attempt is late and its second copy is in progress. */
+  private boolean isHedged(Attempt attempt) {
+    return silentAttempt.filter(attempt::equals).isPresent()
+        && hedge.filter(known -> known.isFirst(attempt)).isPresent();
   }
 
   /**
@@ -976,9 +1030,7 @@
       return;
     }
     state.metrics().countRetry("runner_silent");
-    mayHaveRun = true;
-    silentAttempt = Optional.of(silent);
-    connect(next.get());
+    keepWhileAsking(silent, next.get());
   }
 
   /**
@@ -991,8 +1043,13 @@
     }
     currentAttempt.ifPresent(Attempt::cancel);
     currentAttempt = silentAttempt;
+    boolean isHedged = isHedged(currentAttempt.get());
     silentAttempt = Optional.empty();
-    logAttempt("silent_runner_kept", currentAttempt.get(), "not replaced by another runner");
+    if (isHedged) {
+      hedge.get().onLost(state.now());
+    } else {
+      logAttempt("silent_runner_kept", currentAttempt.get(), "not replaced by another runner");
+    }
     return true;
   }
 
@@ -1082,7 +1139,8 @@
       // A later retry must count in the window of the budget in which it is sent.
       hasUnusedRetry = false;
       runner.recordActivity(lastActivityAt);
-      if (silentAttempt.filter(this::equals).isPresent()) {
+      // A late attempt wins with a sound response only, since its copy is in progress.
+      if (silentAttempt.filter(this::equals).isPresent() && !isHedged(this)) {
         resumeSilentAttempt();
       }
     }
@@ -1126,7 +1184,7 @@
       if (status >= 500) {
         runner.recordFailure(1, now);
         logAttempt("runner_failed", this, "status " + status);
-        if (resumeSilentAttempt()) {
+        if (leaveToCopy() || resumeSilentAttempt()) {
           return;
         }
         if (route.isRepeatable() && !isResponseStarted && abandonIfRetried()) {
@@ -1139,12 +1197,32 @@
         abandon("resume_refused");
         return;
       }
+      if (isHedged(this)) {
+        resumeSilentAttempt();
+      }
+      hedge.ifPresent(known -> recordAnswer(known, now));
       cancelSilentAttempt();
       if (!isResponseStarted) {
         writeResponseHeaders(response);
       }
     }
 
+    private void recordAnswer(RequestHedge known, Instant now) {
+      if (isSuccess && !isResponseStarted) {
+        known.recordFirstResponse(this, now);
+      }
+      known.onAnswered(this, now);
+    }
+
+    /** Ends a late attempt whose copy is in progress; returns false if this is not one. */
+    private boolean leaveToCopy() {
+      if (!isHedged(this)) {
+        return false;
+      }
+      cancelSilentAttempt();
+      return true;
+    }
+
     /** Retries on another runner and cancels this attempt; returns false if that is not allowed. */
     private boolean abandonIfRetried() {
       if (!retryOnAnotherRunner("runner_failed")) {
@@ -1186,6 +1264,9 @@
     }
 
     private void abandon(String reason) {
+      if (leaveToCopy()) {
+        return;
+      }
       cancel();
       currentAttempt = Optional.empty();
       if (resumeSilentAttempt()) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
@@ -96,6 +96,13 @@
             saveTargets));
   }
 
+  /** Returns the expected time to the first response, zero if there is no estimate. */
+  Duration expectedTime() {
+    return selection == null
+        ? Duration.ZERO
+        : Duration.ofNanos((long) (selection.firstTokenSeconds() * 1e9));
+  }
+
   long prefillTokens() {
     return selection == null ? 0 : selection.prefillTokens();
   }
