Check deadline and caller right before a request is sent

A node with little CPU handles events late: a request lay unread in its socket, its deadline was counted from when it was read, and it was sent to a runner after its deadline. A request whose caller had closed the connection was sent too, since the node sent it before it read the end of the connection.

Immediately before a request is sent to a runner or to a peer, the node now reads what is readable from the caller, which finds the end of the connection, and compares the deadline with the earliest time at which the request may have arrived: it was not there when the event loop looked for input the turn before. A request that is late by then is answered with 503 as not run. Connections are passed on in a task of their own, after the events that were ready together.

Not known: a close behind more pipelined requests than the node reads ahead, and what happens between the check and the write.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -30,6 +31,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import org.dragonflyhill.core.relay.Arrival;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 
 /**
@@ -48,7 +50,8 @@
   private Optional<HttpRequest> pendingRequest = Optional.empty();
   private CompositeByteBuf body = Unpooled.compositeBuffer();
   private Optional<RelayedRequest> activeRequest = Optional.empty();
-  private Instant requestStartedAt;
+  private final Arrival opening;
+  private Arrival requestArrival;
   private boolean hasRequestStarted;
   private Instant idleSince;
   private boolean isClosing;
@@ -65,7 +68,8 @@
     this.server = server;
     this.channel = channel;
     this.isPeer = isPeer;
-    requestStartedAt = now;
+    opening = server.arrival(now);
+    requestArrival = opening;
     idleSince = now;
   }
 
@@ -78,7 +82,10 @@
   void onBytesReceived() {
     if (!hasRequestStarted && activeRequest.isEmpty()) {
       hasRequestStarted = true;
-      requestStartedAt = server.state().now();
+      Arrival arrival = server.arrival(server.state().now());
+      // What is read in the first turn may have lain unread since before the connection was opened.
+      boolean isFirstTurn = arrival.notBefore().isBefore(opening.readAt());
+      requestArrival = isFirstTurn ? new Arrival(opening.notBefore(), arrival.readAt()) : arrival;
     }
   }
 
@@ -187,7 +194,7 @@
       body = Unpooled.compositeBuffer();
       hasRequestStarted = false;
       RelayedRequest relayed =
-          new RelayedRequest(server, this, request, requestBody, requestStartedAt);
+          new RelayedRequest(server, this, request, requestBody, requestArrival);
       activeRequest = Optional.of(relayed);
       relayed.start();
     }
@@ -255,6 +262,20 @@
     channel.flush();
   }
 
+  /**
+   * Returns whether the caller has not closed the connection, as far as can be known: reads what is
+   * readable first, since the end of the connection may lie unread. It is not found behind more
+   * pipelined requests than the node reads ahead. Must not be called while the channel is read.
+   */
+  boolean isConnected() {
+    if (channel.isActive()
+        && channel.config().isAutoRead()
+        && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe input) {
+      input.read();
+    }
+    return channel.isActive();
+  }
+
   boolean isWritable() {
     return channel.isWritable();
   }
@@ -303,7 +324,7 @@
       return;
     }
     if (hasRequestStarted || pendingRequest.isPresent()) {
-      if (Duration.between(requestStartedAt, now).compareTo(limits().headerTimeout()) > 0) {
+      if (Duration.between(requestArrival.readAt(), now).compareTo(limits().headerTimeout()) > 0) {
         isClosing = true;
         server.recordRefusal("head_timeout", "", "the request came too slowly");
         respond(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ForwardedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ForwardedRequest.java
@@ -38,7 +38,7 @@
   }
 
   private void onConnected(RunnerConnection opened) {
-    if (isEnded) {
+    if (isEnded || !owner.maySend()) {
       forwarder.connections().release(opened);
       return;
     }
@@ -125,6 +125,12 @@
   /** The request that is forwarded, and the caller's end of it. */
   interface Owner {
 
+    /**
+     * Returns whether the request may be sent now; false if its deadline has passed, which ends it,
+     * or if its caller has closed the connection.
+     */
+    boolean maySend();
+
     /** Returns the head to send to the peer. */
     DefaultHttpRequest forwardedHead();
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/HopByHopHeaders.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/HopByHopHeaders.java
@@ -1,7 +1,11 @@
 package org.dragonflyhill.daemon.relay;
 
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 
 /** Hop-by-hop header fields, which apply to a single connection and must not be forwarded. */
@@ -22,6 +26,21 @@
 
   private HopByHopHeaders() {}
 
+  /** Returns the head of a request without what concerns the caller's connection only. */
+  static DefaultHttpRequest copyRequest(HttpRequest request, int bodyBytes) {
+    var head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
+    HttpHeaders headers = head.headers();
+    headers.add(request.headers());
+    removeFrom(headers);
+    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    if (bodyBytes > 0 || HttpUtil.isContentLengthSet(request)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+    } else if (HttpUtil.isTransferEncodingChunked(request)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    }
+    return head;
+  }
+
   /** Removes the hop-by-hop fields, including those that the Connection field names. */
   static void removeFrom(HttpHeaders headers) {
     for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -18,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.dragonflyhill.core.relay.Arrival;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.Runner;
@@ -43,6 +45,7 @@
   private static final int BACKLOG = 1_024;
 
   private final EventLoop loop;
+  private final PollTimes pollTimes;
   private final RelayState state;
   private final HeaderCodec headerCodec;
   private final RunnerConnectionPool runnerConnections;
@@ -57,8 +60,14 @@
   private boolean isRefusingRequests;
 
   /** Binds the address and starts to accept connections. */
-  public RelayServer(EventLoop loop, Endpoint address, RelayState state, HeaderCodec headerCodec) {
+  public RelayServer(
+      EventLoop loop,
+      PollTimes pollTimes,
+      Endpoint address,
+      RelayState state,
+      HeaderCodec headerCodec) {
     this.loop = loop;
+    this.pollTimes = pollTimes;
     this.state = state;
     this.headerCodec = headerCodec;
     this.runnerConnections =
@@ -89,6 +98,10 @@
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
+        // Connections left over for the next turn would seem to have come after this one.
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.SO_KEEPALIVE, true)
         .childHandler(
@@ -207,6 +220,11 @@
     return crashDetector;
   }
 
+  /** Returns the arrival of input that is read now. */
+  Arrival arrival(Instant now) {
+    return new Arrival(now.minus(pollTimes.maxUnreadTime()), now);
+  }
+
   RelayConfiguration.CallerLimits limits() {
     return state
         .configuration()
@@ -236,6 +254,11 @@
                 event.with("request", requestId).with("reason", reason).with("detail", detail));
   }
 
+  /** Returns the number of open connections of callers. */
+  public int callerConnections() {
+    return callers.size();
+  }
+
   /** Returns the number of requests in progress. */
   public int runningRequests() {
     return activeRequests.size();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -28,6 +28,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.Admission;
+import org.dragonflyhill.core.relay.Arrival;
 import org.dragonflyhill.core.relay.AttemptLimit;
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
@@ -108,7 +109,7 @@
   private final CallerConnection caller;
   private final HttpRequest request;
   private final ByteBuf body;
-  private final Instant receivedAt;
+  private final Arrival arrival;
   private final Set<String> triedRunners = new HashSet<>();
   private final EventStream eventStream = new EventStream();
   private final StreamBinding streamBinding = new StreamBinding();
@@ -157,13 +158,13 @@
       CallerConnection caller,
       HttpRequest request,
       ByteBuf body,
-      Instant receivedAt) {
+      Arrival arrival) {
     this.server = server;
     this.state = server.state();
     this.caller = caller;
     this.request = request;
     this.body = body;
-    this.receivedAt = receivedAt;
+    this.arrival = arrival;
   }
 
   /** Validates the request against the configuration and dispatches it to a runner. */
@@ -179,7 +180,7 @@
       return;
     }
     requestHeaders = parsed.get();
-    callerDeadline = receivedAt.plus(requestHeaders.timeLeft().orElse(DEFAULT_TIMEOUT));
+    callerDeadline = arrival.readAt().plus(requestHeaders.timeLeft().orElse(DEFAULT_TIMEOUT));
     if (server.isRefusingRequests()) {
       refuseUnavailable("stopping", "the node is stopping", STOPPING_RETRY_AFTER);
       return;
@@ -202,7 +203,7 @@
       refuse(HttpResponseStatus.UNAUTHORIZED, "unknown_key", "unknown key", Optional.empty());
       return;
     }
-    Instant routeDeadline = receivedAt.plus(route.timeout());
+    Instant routeDeadline = arrival.readAt().plus(route.timeout());
     deadline = callerDeadline.isBefore(routeDeadline) ? callerDeadline : routeDeadline;
     if (route.kind() == Route.Kind.STREAM && route.isResumable()) {
       startStream();
@@ -416,7 +417,7 @@
 
   @Override
   public DefaultHttpRequest forwardedHead() {
-    DefaultHttpRequest head = copyHead();
+    DefaultHttpRequest head = HopByHopHeaders.copyRequest(request, body.readableBytes());
     server.headerCodec().setTimeLeft(head.headers(), timeLeft(state.now()));
     return head;
   }
@@ -659,8 +660,17 @@
         .map(selection -> new Attempt(selection.runner(), selection));
   }
 
+  @Override
+  public boolean maySend() {
+    if (arrival.mayBeOver(deadline, state.now())) {
+      onTimeout();
+      return false;
+    }
+    return caller.isConnected();
+  }
+
   private void send(Attempt chosen, RunnerConnection connection) {
-    if (isFinished || currentAttempt.filter(chosen::equals).isEmpty()) {
+    if (isFinished || currentAttempt.filter(chosen::equals).isEmpty() || !maySend()) {
       server.runnerConnections().release(connection);
       return;
     }
@@ -670,7 +680,7 @@
       return;
     }
     final Instant now = state.now();
-    DefaultHttpRequest forwarded = copyHead();
+    DefaultHttpRequest forwarded = HopByHopHeaders.copyRequest(request, body.readableBytes());
     HttpHeaders headers = forwarded.headers();
     server.headerCodec().removeReservedHeaders(headers, configuration.hasOrganisations());
     Optional<String> lastEventId = eventStream.lastId().or(requestHeaders::lastEventId);
@@ -692,21 +702,6 @@
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
   }
 
-  /** Returns the head of the request without what concerns the caller's connection only. */
-  private DefaultHttpRequest copyHead() {
-    var head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
-    HttpHeaders headers = head.headers();
-    headers.add(request.headers());
-    HopByHopHeaders.removeFrom(headers);
-    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-    if (body.isReadable() || HttpUtil.isContentLengthSet(request)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-    } else if (HttpUtil.isTransferEncodingChunked(request)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    }
-    return head;
-  }
-
   private void logResumption(Attempt chosen, String lastEventId) {
     state
         .log()
@@ -794,7 +789,7 @@
                     .with("route", route.name())
                     .with("runner", chosen.runner.id())
                     .with("attempt", attempts.sent())
-                    .with("age_ms", Duration.between(receivedAt, state.now()).toMillis())
+                    .with("age_ms", Duration.between(arrival.readAt(), state.now()).toMillis())
                     .with("configuration", configuration.version())
                     .with("detail", detail));
   }
@@ -1437,7 +1432,7 @@
       state
           .metrics()
           .timer("relay." + route.kind().name().toLowerCase(Locale.ROOT))
-          .update(Duration.between(receivedAt, state.now()));
+          .update(Duration.between(arrival.readAt(), state.now()));
       finish();
       caller.completeResponse();
     }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
@@ -92,8 +92,17 @@
     log.info("foreign_answer_skipped", event -> event.with("answered_request", id));
   }
 
-  /** Passes an idle or a new connection to a callback, or the error if none can be opened. */
+  /**
+   * Passes an idle or a new connection to a callback, or the error if none can be opened. The
+   * callback runs after this method has returned, and so after the events of all channels that were
+   * found ready together: the end of a caller's connection may be among them.
+   */
   void acquire(Endpoint endpoint, Consumer<RunnerConnection> ready, Consumer<Throwable> failed) {
+    loop.execute(() -> acquireNow(endpoint, ready, failed));
+  }
+
+  private void acquireNow(
+      Endpoint endpoint, Consumer<RunnerConnection> ready, Consumer<Throwable> failed) {
     IdleConnections idle = idleByEndpoint.computeIfAbsent(endpoint, any -> new IdleConnections());
     RunnerConnection connection = idle.connections.pollLast();
     while (connection != null) {
