--- a/core/src/main/java/org/dragonflyhill/core/relay/HedgePolicy.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/HedgePolicy.java
@@ -102,7 +102,8 @@
         && !runner.isSilent(now)
         && !runner.isChangingWeights()
         && runner.backoffLeft(now).isZero()
-        && runner.rateLimit().perSecond().isEmpty();
+        && runner.rateLimit().perSecond().isEmpty()
+        && !runner.coldStart().isCold(now);
   }
 
   /**
