--- a/core/src/test/java/org/dragonflyhill/core/relay/HedgePolicyTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/HedgePolicyTest.java
@@ -75,7 +75,21 @@
   private RunnerSelector.Selection selection(
       long prefill, double memorySeconds, double seconds, List<Endpoint> sources) {
     return new RunnerSelector.Selection(
-        second, 1, "m@1", List.of(), sources, prefill, 0, memorySeconds, 0, 0, seconds, seconds, 0);
+        second,
+        1,
+        "m@1",
+        List.of(),
+        sources,
+        prefill,
+        0,
+        85_200,
+        0,
+        memorySeconds,
+        0,
+        0,
+        seconds,
+        seconds,
+        0);
   }
 
   private HedgePolicy.Copy promptCopy(RunnerSelector.Selection selection, boolean canFetch) {
--- a/core/src/test/java/org/dragonflyhill/core/relay/OldLoadsPatternTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/OldLoadsPatternTest.java
@@ -142,8 +142,7 @@
       Map<String, PeerReport.Load> loads = new HashMap<>();
       for (Runner runner : runnersOf.get(node)) {
         if (runner.running() > 0) {
-          loads.put(
-              runner.id(), new PeerReport.Load(runner.running(), List.of(), List.of()));
+          loads.put(runner.id(), new PeerReport.Load(runner.running(), List.of(), List.of()));
         }
       }
       PeerReport report = PeerReports.withLoads("n" + node, tick + 1, loads);
