Find the sender of a datagram in a map

PeerGossip compared the sender of each datagram with the addresses of all peers, and PeerTable.livePeers calculated the same time limit for each peer.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PeerTable.java
@@ -51,8 +51,9 @@
 
   /** Returns the peers that have reported recently and are not stopping. */
   public List<HolderAssignment.Peer> livePeers(Instant now) {
+    Duration timeout = atLeast(PEER_TIMEOUT);
     return peers.values().stream()
-        .filter(latest -> isWithin(latest.receivedAt(), atLeast(PEER_TIMEOUT), now))
+        .filter(latest -> isWithin(latest.receivedAt(), timeout, now))
         .filter(latest -> !latest.report().isStopping())
         .map(latest -> new HolderAssignment.Peer(latest.report().node(), latest.report().zone()))
         .toList();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -62,6 +62,7 @@
   private final Channel channel;
   private final Map<String, Map<String, StreamOrigin>> untoldOrigins = new HashMap<>();
   private final Map<String, Peer> peers = new TreeMap<>();
+  private final Map<InetSocketAddress, Peer> peersByAddress = new HashMap<>();
   private final Map<String, PartFeed> feeds = new HashMap<>();
   private long sequence;
   private long changesTick;
@@ -116,7 +117,12 @@
     if (!endpoint.equals(ownAddress)) {
       var address = new InetSocketAddress(endpoint.host(), endpoint.port());
       peers.values().removeIf(peer -> peer.address.equals(address));
-      peers.put(name, new Peer(address, state.partChanges().nextSequence()));
+      Peer peer = new Peer(address, state.partChanges().nextSequence());
+      Peer replaced = peers.put(name, peer);
+      if (replaced != null) {
+        peersByAddress.remove(replaced.address);
+      }
+      peersByAddress.put(address, peer);
     }
   }
 
@@ -386,14 +392,13 @@
   private final class DatagramReceiver extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-      Optional<Peer> sender =
-          peers.values().stream().filter(p -> p.address.equals(packet.sender())).findFirst();
-      if (sender.isEmpty()) {
+      Peer sender = peersByAddress.get(packet.sender());
+      if (sender == null) {
         state.metrics().count("peers.unknown_sender");
         return;
       }
       PeerDatagramCodec.decode(ByteBufUtil.getBytes(packet.content()))
-          .peek(datagram -> onDatagram(datagram, sender.get()))
+          .peek(datagram -> onDatagram(datagram, sender))
           .peekLeft(
               error -> state.log().info("peer_unreadable", event -> event.with("error", error)));
     }
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
@@ -116,6 +116,26 @@
         List.of(origin));
   }
 
+  /** Datagrams from the former address of a node are ignored until another node has the address. */
+  @Test
+  public void formerAddressOfPeerIsIgnored() throws Exception {
+    await().until(() -> loop.submit(() -> !first.gossip.live().isEmpty()).get());
+    Endpoint moved = new Endpoint("127.0.0.1", freePort());
+    onLoop(() -> first.gossip.addPeer("n2", moved));
+    await()
+        .until(
+            () ->
+                loop.submit(() -> first.state.metrics().counterValue("peers.unknown_sender")).get()
+                    > 0);
+    onLoop(() -> first.gossip.addPeer("n3", second.address));
+    long unknown = first.state.metrics().counterValue("peers.unknown_sender");
+    onLoop(() -> second.state.streamOrigins().begin("told", new StreamOrigin("s", "v1", "o")));
+    await()
+        .until(
+            () -> loop.submit(() -> first.state.streamOrigins().known("told")).get().isPresent());
+    assertEquals(first.state.metrics().counterValue("peers.unknown_sender"), unknown);
+  }
+
   /** A report with much to tell must arrive whole, since everything else in it is lost too. */
   @Test
   public void longestReportArrives() throws Exception {
