Write out equals and hashCode of the keys of the part directory

The methods that the compiler generates for a record run as chains of method handles, which the C1 compiler does not inline, and nodes run without C2. The hash codes are the same as before.

RunnerSelector looks up some 10,000 parts for a prompt of 84 parts.

--- a/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/PartDirectory.java
@@ -163,5 +163,18 @@
    * @param salt salt of the part: model, weight version and isolated organisation
    * @param part id of the part
    */
-  public record Key(String salt, String part) {}
+  public record Key(String salt, String part) {
+
+    @Override
+    public boolean equals(Object other) {
+      // Written out, since the generated method is several times slower without the C2 compiler,
+      // which nodes do not use.
+      return other instanceof Key key && part.equals(key.part) && salt.equals(key.salt);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * salt.hashCode() + part.hashCode();
+    }
+  }
 }
