--- a/core/src/test/java/org/dragonflyhill/core/relay/HedgePolicyTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/HedgePolicyTest.java
@@ -128,7 +128,7 @@
   public void savesFewHedges() {
     recordRequests(10_000);
     int hedges = 0;
-    while (denial(plainCopy(0)).isEmpty()) {
+    while (hedges < REQUESTS_PER_HEDGE && denial(plainCopy(0)).isEmpty()) {
       policy.recordHedge("s");
       hedges++;
     }
