Bound the bytes that a node holds for others by one budget

Bodies of requests were limited each but not together: 40 callers that send bodies of 4,000,000 bytes at 2 MB/s to a node with -Xmx96m used up its direct memory. Bodies were also kept as slices of the buffers of the reads, and merged again and again.

RelayMemory counts bodies, responses that callers have not taken and control responses in one budget of half the heap limit. A body gets room for its whole length before it is read, so that partly received bodies never wait for each other; one that finds no room waits for 500 ms, while the node does not read from its caller, and is refused with 503 and Retry-After. A body of unknown length is refused as soon as there is no room. The refused caller's bytes are read and dropped, so that no reset takes the response from it. While the budget is used up or bodies wait, callers that have taken nothing for 1 s are ended, the costliest first.

Not counted: heads, the beginning of an event (up to 256 KiB for each resumable stream) and the buffer of a read in progress.

Without the limits, 3 of 4 cases of SharedMemoryTest fail; 4 of 4 pass.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.dragonflyhill.daemon.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -9,7 +8,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -32,13 +30,16 @@
 import java.util.List;
 import java.util.Optional;
 import org.dragonflyhill.core.relay.Arrival;
+import org.dragonflyhill.core.relay.BodyAdmission;
+import org.dragonflyhill.core.relay.ByteBudget;
 import org.dragonflyhill.core.relay.RelayConfiguration;
+import org.dragonflyhill.core.relay.SlowReaders;
 
 /**
  * Server side of a caller's connection. Handles one request at a time, so that pipelined requests
  * are answered in order.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements SlowReaders.Reader {
 
   /** Number of messages queued behind the active request above which reading pauses. */
   private static final int MAX_QUEUED_MESSAGES = 64;
@@ -48,14 +49,30 @@
   private final boolean isPeer;
   private final Deque<HttpObject> queuedMessages = new ArrayDeque<>();
   private Optional<HttpRequest> pendingRequest = Optional.empty();
-  private CompositeByteBuf body = Unpooled.compositeBuffer();
+  private final ByteBudget.Share queuedBytes;
+  private final BodyBuffer body;
+  private final UntakenBytes untaken;
+
+  /** The body of the pending request while it waits for memory. */
+  private Optional<IncomingBody> waitingBody = Optional.empty();
+
   private Optional<RelayedRequest> activeRequest = Optional.empty();
   private final Arrival opening;
   private Arrival requestArrival;
+
+  /** Start of the time in which the caller must send the request. */
+  private Instant receivingSince;
+
   private boolean hasRequestStarted;
   private Instant idleSince;
   private boolean isClosing;
 
+  /** Whether the connection is closed although the caller may still be sending a body. */
+  private boolean isBodyUnread;
+
+  /** Whether reading a response is paused until the caller has taken everything. */
+  private boolean isHeldBack;
+
   /**
    * Creates a connection without requests.
    *
@@ -70,7 +87,11 @@
     this.isPeer = isPeer;
     opening = server.arrival(now);
     requestArrival = opening;
+    receivingSince = now;
     idleSince = now;
+    queuedBytes = server.memory().open();
+    body = new BodyBuffer(channel.alloc(), server.memory());
+    untaken = new UntakenBytes(channel, server.memory(), now, this::onAllTaken);
   }
 
   /** Returns whether the requests come from a node that could not serve them itself. */
@@ -86,6 +107,7 @@
       // What is read in the first turn may have lain unread since before the connection was opened.
       boolean isFirstTurn = arrival.notBefore().isBefore(opening.readAt());
       requestArrival = isFirstTurn ? new Arrival(opening.notBefore(), arrival.readAt()) : arrival;
+      receivingSince = arrival.readAt();
     }
   }
 
@@ -95,9 +117,10 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (activeRequest.isPresent()) {
+    if (activeRequest.isPresent() || waitingBody.isPresent()) {
       queuedMessages.add(httpObject);
-      if (queuedMessages.size() > MAX_QUEUED_MESSAGES) {
+      queuedBytes.add(contentBytes(httpObject));
+      if (queuedMessages.size() > MAX_QUEUED_MESSAGES || server.memory().isUsedUp()) {
         channel.config().setAutoRead(false);
       }
       return;
@@ -105,6 +128,10 @@
     process(httpObject);
   }
 
+  private static int contentBytes(HttpObject httpObject) {
+    return httpObject instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
+
   private void process(HttpObject httpObject) {
     try {
       if (httpObject.decoderResult().isFailure()) {
@@ -143,11 +170,26 @@
       return;
     }
     long length = HttpUtil.getContentLength(request, 0L);
-    if (length > limits().maxBodyBytes()) {
+    if (length > maxBodyBytes()) {
       rejectTooLarge();
       return;
     }
     pendingRequest = Optional.of(request);
+    IncomingBody incoming = new IncomingBody(request, length);
+    if (length > 0 && !server.bodies().admit(incoming, server.state().now())) {
+      waitingBody = Optional.of(incoming);
+      channel.config().setAutoRead(false);
+      return;
+    }
+    receiveBody(request, length);
+  }
+
+  private long maxBodyBytes() {
+    return Math.min(limits().maxBodyBytes(), server.memory().maxBodyBytes());
+  }
+
+  private void receiveBody(HttpRequest request, long length) {
+    body.setReserved(length);
     if (HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -180,18 +222,18 @@
   }
 
   private void onContent(HttpContent content) {
-    if (content.content().isReadable()) {
-      body.addComponent(true, content.content().retain());
-    }
-    if (body.readableBytes() > limits().maxBodyBytes()) {
+    if (body.length() + content.content().readableBytes() > maxBodyBytes()) {
       rejectTooLarge();
       return;
     }
+    if (!body.append(content.content())) {
+      refuseForMemory(pendingRequest.get());
+      return;
+    }
     if (content instanceof LastHttpContent) {
       final HttpRequest request = pendingRequest.get();
-      final ByteBuf requestBody = body;
+      final ByteBuf requestBody = body.take();
       pendingRequest = Optional.empty();
-      body = Unpooled.compositeBuffer();
       hasRequestStarted = false;
       RelayedRequest relayed =
           new RelayedRequest(server, this, request, requestBody, requestArrival);
@@ -200,9 +242,25 @@
     }
   }
 
+  private void refuseForMemory(HttpRequest request) {
+    isClosing = true;
+    isBodyUnread = true;
+    Optional<HeaderCodec.RequestHeaders> headers =
+        server.headerCodec().parseRequest(request).toJavaOptional();
+    Optional<String> id = headers.flatMap(HeaderCodec.RequestHeaders::id);
+    server.recordRefusal(
+        "memory_short", id.orElse(""), "the node holds " + server.memory().total() + " bytes");
+    respond(
+        HttpResponseStatus.SERVICE_UNAVAILABLE,
+        "the node holds too many bytes of other requests",
+        Optional.of(BodyAdmission.RETRY_AFTER),
+        id);
+  }
+
   private void rejectTooLarge() {
     isClosing = true;
-    server.recordRefusal("body_too_large", "", "more than " + limits().maxBodyBytes() + " bytes");
+    isBodyUnread = true;
+    server.recordRefusal("body_too_large", "", "more than " + maxBodyBytes() + " bytes");
     respond(
         HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
         "the body is too large",
@@ -255,7 +313,7 @@
   }
 
   void writeContent(ByteBuf bytes) {
-    channel.write(new DefaultHttpContent(bytes));
+    untaken.write(bytes);
   }
 
   void flush() {
@@ -276,8 +334,20 @@
     return channel.isActive();
   }
 
+  /**
+   * Returns whether more of a response may be read from its runner. While memory is used up, the
+   * caller must first have taken everything.
+   */
   boolean isWritable() {
-    return channel.isWritable();
+    isHeldBack |= server.memory().isUsedUp() && untaken.count() > 0;
+    return channel.isWritable() && !isHeldBack;
+  }
+
+  private void onAllTaken() {
+    if (isHeldBack) {
+      isHeldBack = false;
+      activeRequest.ifPresent(running -> running.onCallerWritabilityChanged(true));
+    }
   }
 
   /** Marks the end of a runner's complete response. */
@@ -289,13 +359,19 @@
   /** Closes the connection in the middle of a response, so that the caller sees it truncated. */
   void abort() {
     activeRequest = Optional.empty();
+    body.clear();
     isClosing = true;
     channel.close();
   }
 
   private void onResponseFinished() {
     activeRequest = Optional.empty();
+    body.clear();
     idleSince = server.state().now();
+    if (isBodyUnread) {
+      LingeringClose.start(channel);
+      return;
+    }
     if (isClosing) {
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       return;
@@ -307,24 +383,28 @@
   }
 
   private void processQueued() {
-    while (activeRequest.isEmpty() && !queuedMessages.isEmpty()) {
+    while (activeRequest.isEmpty() && waitingBody.isEmpty() && !queuedMessages.isEmpty()) {
       HttpObject httpObject = queuedMessages.poll();
+      queuedBytes.remove(contentBytes(httpObject));
       if (isClosing) {
         ReferenceCountUtil.release(httpObject);
       } else {
         process(httpObject);
       }
     }
-    channel.config().setAutoRead(true);
+    if (waitingBody.isEmpty()) {
+      channel.config().setAutoRead(true);
+    }
   }
 
   /** Closes the connection if it has been idle, or a request is incomplete, for too long. */
   void checkTimeouts(Instant now) {
-    if (activeRequest.isPresent()) {
+    untaken.observe(now);
+    if (activeRequest.isPresent() || waitingBody.isPresent() || isBodyUnread) {
       return;
     }
     if (hasRequestStarted || pendingRequest.isPresent()) {
-      if (Duration.between(requestArrival.readAt(), now).compareTo(limits().headerTimeout()) > 0) {
+      if (Duration.between(receivingSince, now).compareTo(limits().headerTimeout()) > 0) {
         isClosing = true;
         server.recordRefusal("head_timeout", "", "the request came too slowly");
         respond(
@@ -352,6 +432,31 @@
     }
   }
 
+  @Override
+  public long untakenBytes() {
+    return untaken.count();
+  }
+
+  @Override
+  public Instant progressAt() {
+    return untaken.progressAt();
+  }
+
+  @Override
+  public void end() {
+    server.state().metrics().count("relay.slow_readers_ended");
+    server
+        .state()
+        .log()
+        .info(
+            "slow_reader_ended",
+            event ->
+                event
+                    .with("untaken_bytes", untaken.count())
+                    .with("held_bytes", server.memory().total()));
+    channel.close();
+  }
+
   /** Closes the connection, which cancels its request. */
   void close() {
     channel.close();
@@ -367,7 +472,9 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
-    activeRequest.ifPresent(running -> running.onCallerWritabilityChanged(channel.isWritable()));
+    if (!isHeldBack) {
+      activeRequest.ifPresent(running -> running.onCallerWritabilityChanged(channel.isWritable()));
+    }
   }
 
   @Override
@@ -378,8 +485,10 @@
     activeRequest = Optional.empty();
     queuedMessages.forEach(ReferenceCountUtil::release);
     queuedMessages.clear();
-    body.release();
-    body = Unpooled.compositeBuffer();
+    queuedBytes.release();
+    waitingBody.ifPresent(server.bodies()::remove);
+    waitingBody = Optional.empty();
+    body.clear();
   }
 
   @Override
@@ -392,4 +501,42 @@
     }
     channel.close();
   }
+
+  /** The body of the pending request, which this connection is about to receive. */
+  private final class IncomingBody implements BodyAdmission.Body {
+
+    private final HttpRequest request;
+    private final long length;
+
+    IncomingBody(HttpRequest request, long length) {
+      this.request = request;
+      this.length = length;
+    }
+
+    @Override
+    public long length() {
+      return length;
+    }
+
+    @Override
+    public ByteBudget.Share share() {
+      return body.share();
+    }
+
+    @Override
+    public void onAdmitted() {
+      waitingBody = Optional.empty();
+      // The caller could not send while the node did not read.
+      receivingSince = server.state().now();
+      receiveBody(request, length);
+      channel.eventLoop().execute(CallerConnection.this::processQueued);
+    }
+
+    @Override
+    public void onRefused() {
+      waitingBody = Optional.empty();
+      pendingRequest = Optional.empty();
+      refuseForMemory(request);
+    }
+  }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -36,6 +36,7 @@
 import java.util.function.Consumer;
 import org.dragonflyhill.core.relay.ByteBudget;
 import org.dragonflyhill.core.relay.Endpoint;
+import org.dragonflyhill.core.relay.RelayMemory;
 import org.dragonflyhill.ports.WriteErrorHandler;
 
 /**
@@ -69,6 +70,11 @@
     this(loop, new ByteBudget(MAX_RESPONSE_BYTES, MAX_BYTES_IN_PROGRESS));
   }
 
+  /** Creates a client whose responses also count in the memory of the node. */
+  public ControlClient(EventLoop loop, RelayMemory memory) {
+    this(loop, memory.part(MAX_RESPONSE_BYTES, MAX_BYTES_IN_PROGRESS));
+  }
+
   /** Creates a client that runs on an event loop and limits what it receives. */
   public ControlClient(EventLoop loop, ByteBudget responseBytes) {
     this.loop = loop;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -20,9 +20,12 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.dragonflyhill.core.relay.Arrival;
+import org.dragonflyhill.core.relay.BodyAdmission;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.RelayConfiguration;
+import org.dragonflyhill.core.relay.RelayMemory;
 import org.dragonflyhill.core.relay.Runner;
+import org.dragonflyhill.core.relay.SlowReaders;
 
 /** HTTP server that accepts callers' connections and tracks the requests in progress. */
 public final class RelayServer implements AutoCloseable {
@@ -46,6 +49,8 @@
 
   private final EventLoop loop;
   private final PollTimes pollTimes;
+  private final RelayMemory memory;
+  private final BodyAdmission bodies;
   private final RelayState state;
   private final HeaderCodec headerCodec;
   private final RunnerConnectionPool runnerConnections;
@@ -63,11 +68,14 @@
   public RelayServer(
       EventLoop loop,
       PollTimes pollTimes,
+      RelayMemory memory,
       Endpoint address,
       RelayState state,
       HeaderCodec headerCodec) {
     this.loop = loop;
     this.pollTimes = pollTimes;
+    this.memory = memory;
+    bodies = new BodyAdmission(memory);
     this.state = state;
     this.headerCodec = headerCodec;
     this.runnerConnections =
@@ -78,6 +86,7 @@
     serverChannel = listen(address, channel -> onConnectionOpened(channel, false));
     scheduleEvery(REQUEST_CHECK_INTERVAL, this::checkRequestTimeouts);
     scheduleEvery(QUEUE_RETRY_INTERVAL, () -> queue.retry(state.now()));
+    scheduleEvery(QUEUE_RETRY_INTERVAL, () -> bodies.update(state.now()));
     scheduleEvery(STREAM_LOOKUP_INTERVAL, () -> state.streamOrigins().checkLookups(state.now()));
     scheduleEvery(STREAM_JOURNAL_INTERVAL, state::writeStreamOrigins);
     scheduleEvery(SWEEP_INTERVAL, this::sweep);
@@ -87,6 +96,8 @@
     state.metrics().registerGauge("relay.callers", callers::size);
     state.metrics().registerGauge("relay.running", activeRequests::size);
     state.metrics().registerGauge("relay.paused", this::pausedRequests);
+    state.metrics().registerGauge("relay.held_bytes", memory::total);
+    state.metrics().registerGauge("relay.waiting_bodies", bodies::size);
     state
         .metrics()
         .registerGauge("relay.runner_connections_opened", runnerConnections::openedCount);
@@ -167,6 +178,7 @@
   private void sweep() {
     Instant now = state.now();
     List.copyOf(callers).forEach(caller -> caller.checkTimeouts(now));
+    SlowReaders.relieve(() -> memory.isUsedUp() || bodies.isBlocked(), List.copyOf(callers), now);
     runnerConnections.closeExpired();
     state.runners().all().stream().filter(runner -> runner.isProbeDue(now)).forEach(this::probe);
     verifiedAt
@@ -220,6 +232,16 @@
     return crashDetector;
   }
 
+  /** Returns the budget for the bytes that this node holds for others. */
+  RelayMemory memory() {
+    return memory;
+  }
+
+  /** Returns the bodies that callers are about to send. */
+  BodyAdmission bodies() {
+    return bodies;
+  }
+
   /** Returns the arrival of input that is read now. */
   Arrival arrival(Instant now) {
     return new Arrival(now.minus(pollTimes.maxUnreadTime()), now);
