Answer requests that are being received when a node stops

A stopping node exited as soon as no complete request was running. A request that it had begun to read was cut off without an answer, and so was the end of a response that its caller had not taken.

No test covers the response that is not taken.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -462,9 +462,17 @@
     channel.close();
   }
 
-  /** Closes the connection if it carries no request, neither active nor partly received. */
+  /** Returns whether it carries a request, active or partly received, or the end of a response. */
+  boolean isBusy() {
+    return activeRequest.isPresent()
+        || hasRequestStarted
+        || pendingRequest.isPresent()
+        || untaken.count() > 0;
+  }
+
+  /** Closes the connection if it carries nothing, once what is readable has been read. */
   void closeIfIdle() {
-    if (activeRequest.isEmpty() && !hasRequestStarted && pendingRequest.isEmpty()) {
+    if (!isBusy() && isConnected() && !isBusy()) {
       isClosing = true;
       channel.close();
     }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/GracefulShutdown.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/GracefulShutdown.java
@@ -67,7 +67,7 @@
     server.refuseNewRequests();
     server.closeIdleConnections();
     boolean isTimeUp = elapsed.compareTo(gracePeriod.minus(EXIT_MARGIN)) >= 0;
-    if (server.runningRequests() == 0 || isTimeUp) {
+    if (!server.isBusy() || isTimeUp) {
       state
           .log()
           .info(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -281,6 +281,14 @@
     return callers.size();
   }
 
+  /**
+   * Returns whether a request is in progress, is being received, or has a response that its caller
+   * has not taken.
+   */
+  public boolean isBusy() {
+    return !activeRequests.isEmpty() || callers.stream().anyMatch(CallerConnection::isBusy);
+  }
+
   /** Returns the number of requests in progress. */
   public int runningRequests() {
     return activeRequests.size();
