Run periodic tasks again after an Error

Only exceptions of periodic tasks were caught. Netty throws an OutOfMemoryError when direct memory is used up for a moment; in a periodic task it ended the task for good, so that the node enforced no deadlines any more.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeriodicTask.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeriodicTask.java
@@ -11,7 +11,8 @@
 
   /**
    * Runs a task after each interval. Netty would not run it again once it has thrown an exception,
-   * so exceptions are logged instead.
+   * so exceptions are logged instead. Errors are logged too: when direct memory was used up for a
+   * moment, the node would otherwise enforce no deadlines until it is started again.
    */
   public static void schedule(EventLoop loop, Duration interval, DecisionLog log, Runnable task) {
     loop.scheduleWithFixedDelay(
@@ -21,7 +22,7 @@
   private static void run(Runnable task, DecisionLog log) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       StackTraceElement[] trace = e.getStackTrace();
       log.info(
           "periodic_task_failed",
