Test each mechanism of the learned capacity

Taking out each mechanism in turn showed seven that no test needed: the early weight, the weight and the bound of deviations, the samples before deviations, the limit of the overhead, the filter of fetches and the learned time of running requests in the selector. Each has a test now. The filter of waits for memory is removed, since such a request also preempts tokens by the estimate.

--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
@@ -271,11 +271,8 @@
       return;
     }
     selection.runner().recordTimeToFirstToken(seconds, selection.firstTokenSeconds());
-    boolean hadAllAtOnce =
-        selection.fetchSeconds() == 0
-            && selection.memorySeconds() == 0
-            && selection.preemptedTokens() == 0;
-    if (hadAllAtOnce) {
+    // A request that waits for memory also preempts tokens by the estimate.
+    if (selection.fetchSeconds() == 0 && selection.preemptedTokens() == 0) {
       selection
           .runner()
           .learnCapacity(
--- a/core/src/main/java/org/dragonflyhill/core/relay/ServiceCapacity.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/ServiceCapacity.java
@@ -32,8 +32,7 @@
 
   /**
    * Three times more weight for faster samples. One sample raises the rate by at most 6 %, an early
-   * one by 20 %, and lowers it by a third of that. With gains 2.5 times as large, 30 samples in a
-   * row that waited 0.1 s in a queue halved the rate.
+   * one by 20 %, and lowers it by a third of that.
    */
   private static final BoundedEstimate.Gains RATE_GAINS =
       new BoundedEstimate.Gains(0.12, 0.04, 0.5);
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerCapacityTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerCapacityTest.java
@@ -125,11 +125,17 @@
     runners.get(i % 10).record(tokens, 2, 0, 0.113 + tokens / RATE, now);
   }
 
-  /** A runner that stalls for 0.5 s in one of ten answers is as fast as the others otherwise. */
+  /** A runner that stalls for 0.5 s in one of three answers is as fast as the others otherwise. */
   @Test
   public void toleratesStalls() {
-    run(RATE, PER_RUNNING, s -> random.nextInt(10) == 0 ? s + 0.5 : s, 4_000);
-    assertEquals(runners.get(0).deviation(now), 1, 0.1);
+    DoubleUnaryOperator stalls = s -> random.nextInt(3) == 0 ? s + 0.5 : s;
+    run(RATE, PER_RUNNING, stalls, 2_000);
+    double sum = 0;
+    for (int i = 0; i < 100; i++) {
+      run(RATE, PER_RUNNING, stalls, 50);
+      sum += runners.get(0).deviation(now);
+    }
+    assertEquals(sum / 100, 1, 0.1);
     assertOthersUsual(RATE);
   }
 
@@ -185,10 +191,12 @@
         createRunners();
         run(RATE, PER_RUNNING, UNCHANGED, round * 2_000);
         double before = service.prefillTokensPerSecond(now);
+        double deviation = runners.get(0).deviation(now);
         runners.get(0).record(12_000, 1, 0, seconds, now);
         double after = service.prefillTokensPerSecond(now);
         assertEquals(after, before, before * 0.21, "service after " + seconds);
-        assertEquals(runners.get(0).deviation(now), 1, 0.25, "runner after " + seconds);
+        assertEquals(
+            runners.get(0).deviation(now), deviation, deviation * 0.065, "runner after " + seconds);
         assertEquals(runners.get(1).deviation(now), 1, 0.05, "other after " + seconds);
       }
     }
@@ -251,8 +259,12 @@
           1);
 
   private static RunnerSelector selector() {
+    return selector(new PartDirectory());
+  }
+
+  private static RunnerSelector selector(PartDirectory directory) {
     return new RunnerSelector(
-        new PartDirectory(),
+        directory,
         new PeerTable(),
         new AnnouncedWeights(),
         new WeightsDeadline(Duration.ofSeconds(6)),
@@ -290,18 +302,69 @@
     assertTrue(runner.capacity().deviation(now) < 0.4);
   }
 
-  /** Guards against learning from requests that had to wait for memory. */
+  /** Guards against learning from requests that wait for memory or preempt others. */
   @Test
-  public void selectorLeavesOutWaitsForMemory() {
-    RunnerSelector selector = selector();
+  public void selectorLeavesOutRequestsWithoutFreeMemory() {
+    for (int rank : new int[] {1, 5}) {
+      RunnerSelector selector = selector();
+      Runner runner = new Runner(INFO, service, now);
+      runner.requestSent(rank, 0, 113_000, now);
+      runner.answerStarted(rank, 0, now);
+      RunnerSelector.Selection selection = select(selector, runner);
+      assertEquals(selection.memorySeconds() > 0, rank == 1);
+      selector.recordTimeToFirstToken(selection, 1, now);
+      assertEquals(runner.capacity().prefillTokensPerSecond(now), RATE);
+    }
+  }
+
+  /** Guards against learning from requests that fetched, even if the fetch is short. */
+  @Test
+  public void selectorLeavesOutFetches() {
+    PartDirectory directory = new PartDirectory();
+    Endpoint store = new Endpoint("10.9.0.1", 80);
+    directory.setTokens(store, "m@1", "a1", 512);
+    RunnerSelector selector = selector(directory);
     Runner runner = new Runner(INFO, service, now);
-    runner.requestSent(1, 0, 113_000, now);
-    runner.answerStarted(1, 0, now);
-    RunnerSelector.Selection selection = select(selector, runner);
+    var parts = List.of(new Prompt.Part("a1", 512), new Prompt.Part("b2", 11_488));
+    var prompt = new Prompt("m", 12_000, 100, parts);
+    var request =
+        new RunnerSelector.Request(prompt, version -> "m@" + version, "k", 327_680, 113_000, 1);
+    var sources = List.of(new RunnerSelector.Source(store, "z1", 1.5e12 / 8, true));
+    var selection = selector.selectForPrompt(request, List.of(runner), sources, now).orElseThrow();
+    assertTrue(selection.fetchSeconds() > 0);
     selector.recordTimeToFirstToken(selection, 1, now);
     assertEquals(runner.capacity().prefillTokensPerSecond(now), RATE);
   }
 
+  /** Guards against an estimate that uses the time of a running request of one deployment. */
+  @Test
+  public void selectorUsesLearnedTimeOfRunningRequests() {
+    run(RATE, 0.007, UNCHANGED, 2_000);
+    Runner runner = new Runner(INFO, service, now);
+    double idle = select(selector(), runner).firstTokenSeconds();
+    for (int i = 0; i < 5; i++) {
+      runner.requestSent(1, 0, 100, now);
+    }
+    assertEquals(select(selector(), runner).firstTokenSeconds() - idle, 0.035, 0.0035);
+  }
+
+  /** A new service leaves the constants within 20 samples, without deviations of its runners. */
+  @Test
+  public void learnsNewServiceSoon() {
+    for (int i = 0; i < RunnerCapacity.MIN_SERVICE_SAMPLES; i++) {
+      runners.get(0).record(12_000, 0, 0, 12_000 / 61_800.0, now);
+    }
+    assertEquals(service.prefillTokensPerSecond(now), 61_800, 3_000);
+    assertEquals(runners.get(0).deviation(now), 1.0);
+  }
+
+  /** A time shorter than the overhead is too short, and must not count as an endless one. */
+  @Test
+  public void timeWithinOverheadDoesNotLowerTheRate() {
+    runners.get(0).record(12_000, 9, 0, 0.03, now);
+    assertTrue(service.prefillTokensPerSecond(now) > RATE);
+  }
+
   /** Runners of a service share what is learned about it, also those that start later. */
   @Test
   public void runnersOfServiceShareItsCapacity() {
