--- a/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
@@ -32,13 +32,13 @@
   public static final Duration CONTINUATION_LATENCY_LIMIT = Duration.ofMillis(1_500);
 
   /**
-   * Fraction of a runner's slots up to which running requests lead to no refusal, because the
-   * runner still has free slots.
+   * Number of running requests up to which a runner refuses nothing, because it still has free
+   * slots.
    */
-  public static final double ALWAYS_ADMITTED_SHARE = 1.0 / 8;
+  public static final int ALWAYS_ADMITTED_RUNNING = 8;
 
-  /** Number of running requests up to which a runner of any size refuses nothing. */
-  public static final int MIN_ALWAYS_ADMITTED_RUNNING = 2;
+  /** Fraction of a runner's slots that limits this number at small runners. */
+  public static final double ALWAYS_ADMITTED_SHARE = 1.0 / 2;
 
   /**
    * Maximum number of tokens that a request may preempt from a runner's KV memory; equals one piece
@@ -94,7 +94,7 @@
 
   private static boolean isAlwaysAdmitted(RunnerSelector.Selection selection) {
     double share = selection.runner().info().slots() * ALWAYS_ADMITTED_SHARE;
-    return selection.running() <= Math.max(MIN_ALWAYS_ADMITTED_RUNNING, share);
+    return selection.running() <= Math.min(ALWAYS_ADMITTED_RUNNING, share);
   }
 
   /**
