Allocate the buffer of a body with its first bytes

A closed connection left an empty buffer behind, which Netty's leak detector reported as an error once in each whole run of the tests. The buffer is now created with the first bytes of a body. 263 tests of relaying, bodies, endless and repeated responses pass without a report.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/BodyBuffer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/BodyBuffer.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.Optional;
 import org.dragonflyhill.core.relay.ByteBudget;
 import org.dragonflyhill.core.relay.RelayMemory;
 
@@ -18,18 +20,13 @@
   private final ByteBufAllocator allocator;
   private final RelayMemory memory;
   private final ByteBudget.Share share;
-  private CompositeByteBuf body;
+  private Optional<CompositeByteBuf> body = Optional.empty();
   private long reserved;
 
   BodyBuffer(ByteBufAllocator allocator, RelayMemory memory) {
     this.allocator = allocator;
     this.memory = memory;
     share = memory.open();
-    body = newBody();
-  }
-
-  private CompositeByteBuf newBody() {
-    return allocator.compositeBuffer(Integer.MAX_VALUE);
   }
 
   /** Returns the share of memory that the body counts in. */
@@ -43,50 +40,56 @@
   }
 
   int length() {
-    return body.readableBytes();
+    return body.map(CompositeByteBuf::readableBytes).orElse(0);
   }
 
   /** Appends bytes; returns false if they were not reserved and there is no room for them. */
   boolean append(ByteBuf bytes) {
     while (bytes.isReadable()) {
-      if (body.writableBytes() == 0 && !addBlock(bytes.readableBytes())) {
+      CompositeByteBuf target = body.orElseGet(this::begin);
+      if (target.writableBytes() == 0 && !addBlock(target, bytes.readableBytes())) {
         return false;
       }
-      int count = Math.min(bytes.readableBytes(), body.writableBytes());
-      body.writeBytes(bytes, count);
+      target.writeBytes(bytes, Math.min(bytes.readableBytes(), target.writableBytes()));
     }
     return true;
   }
 
-  private boolean addBlock(int wanted) {
-    long left = reserved - body.capacity();
+  private CompositeByteBuf begin() {
+    CompositeByteBuf begun = allocator.compositeBuffer(Integer.MAX_VALUE);
+    body = Optional.of(begun);
+    return begun;
+  }
+
+  private boolean addBlock(CompositeByteBuf target, int wanted) {
+    long left = reserved - target.capacity();
     int size;
     if (left > 0) {
       size = (int) Math.min(left, MAX_BLOCK_BYTES);
     } else {
       // The length is unknown: the blocks grow with the body, so that at most half is unused.
       size = Math.max(Math.max(MIN_BLOCK_BYTES, wanted), Math.min(length(), MAX_BLOCK_BYTES));
-      if (!memory.hasRoom(body.capacity() + size, size)) {
+      if (!memory.hasRoom(target.capacity() + size, size)) {
         return false;
       }
       share.add(size);
     }
-    body.addComponent(false, allocator.ioBuffer(size, size).writerIndex(size));
+    target.addComponent(false, allocator.ioBuffer(size, size).writerIndex(size));
     return true;
   }
 
   /** Returns the body, which the caller of this method releases, and begins another one. */
   ByteBuf take() {
-    ByteBuf taken = body;
-    body = newBody();
+    ByteBuf taken = body.isPresent() ? body.get() : Unpooled.EMPTY_BUFFER;
+    body = Optional.empty();
     reserved = 0;
     return taken;
   }
 
   /** Drops what was received and frees the share. */
   void clear() {
-    body.release();
-    body = newBody();
+    body.ifPresent(CompositeByteBuf::release);
+    body = Optional.empty();
     reserved = 0;
     share.release();
   }
