--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -307,7 +307,7 @@
     return rateLimit;
   }
 
-  /** Returns whether the runner is cold. */
+  /** Returns until when the runner is cold, and this node's share of its requests meanwhile. */
   public RunnerColdStart coldStart() {
     return coldStart;
   }
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerCapacity.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerCapacity.java
@@ -68,9 +68,8 @@
       ServiceCapacity.START_TOKENS_PER_SECOND * ServiceCapacity.MAX_RATE_FACTOR;
 
   /**
-   * Factor by which a learned rate must differ from the start to be used in estimates. Queueing
-   * that this node does not know of moves rates by about a tenth; with every such change in use,
-   * large prompts of one deployment were answered late more often (85 instead of 65 of 943).
+   * Factor by which a learned rate must differ from the start to be used in estimates. A smaller
+   * difference may be queueing that this node does not know of rather than speed.
    */
   private static final double CLEAR_FACTOR = 1.2;
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -185,7 +185,7 @@
     verifiedAt
         .values()
         .removeIf(at -> Duration.between(at, now).compareTo(MIN_VERIFICATION_INTERVAL) >= 0);
-    state.runnersToVerify().stream().forEach(this::verify);
+    state.runnersToVerify().forEach(this::verify);
     state.parts().expireExpectations(now);
     state.onRunnersRemoved(state.runners().removeExpired(now));
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -146,7 +146,7 @@
     return runners;
   }
 
-  /** Returns the runners that are cold. */
+  /** Returns the tracker of cold runners and of this node's shares of their requests. */
   public ColdRunners coldRunners() {
     return coldRunners;
   }
