Show that a runner that has gone gets requests after one silent read

Cause: a read of the host list that times out counts as an outage of the log, after which removals are held back for 1.9 s.

--- a/review/harness-2/Http.java
+++ b/review/harness-2/Http.java
@@ -67,6 +67,7 @@
     final Socket socket;
     final InputStream in;
     final OutputStream out;
+    private volatile boolean isSilent;
 
     Connection(Socket socket) throws IOException {
       this.socket = socket;
@@ -76,6 +77,9 @@
     }
 
     void write(String text) throws IOException {
+      if (isSilent) {
+        return;
+      }
       out.write(text.getBytes(StandardCharsets.UTF_8));
       out.flush();
     }
@@ -86,6 +90,9 @@
       head += "Content-Length: " + body.length + "\r\n\r\n";
       all.write(head.getBytes(StandardCharsets.UTF_8));
       all.write(body);
+      if (isSilent) {
+        return;
+      }
       out.write(all.toByteArray());
       out.flush();
     }
@@ -154,13 +161,20 @@
       connections.forEach(Connection::reset);
     }
 
+    /** Lets the open connections go silent for good, without a reset, while new ones work. */
+    void silenceOpenConnections() {
+      connections.forEach(connection -> connection.isSilent = true);
+    }
+
     private void serve(Socket socket) {
       Connection connection = null;
       try {
         connection = new Connection(socket);
         connections.add(connection);
         for (Message m = read(connection.in); m != null; m = read(connection.in)) {
-          handler.handle(m, connection);
+          if (!connection.isSilent) {
+            handler.handle(m, connection);
+          }
         }
       } catch (IOException | InterruptedException e) {
         // The other side closed the connection.
--- a/review/harness-2/LogStore.java
+++ b/review/harness-2/LogStore.java
@@ -55,6 +55,11 @@
     server.start();
   }
 
+  /** Lets the open connections go silent for good, without a reset, while new ones work. */
+  void silenceOpenConnections() {
+    server.silenceOpenConnections();
+  }
+
   synchronized long put(String topic, String key, String value) {
     byte[] k = key.getBytes(StandardCharsets.UTF_8);
     byte[] v = value.getBytes(StandardCharsets.UTF_8);
