Show that isolated tenants with accents in their names share KV cache

Cause: names of tenants go into header fields as they are, where characters above U+00FF become question marks, also in the salt.

--- a/review/harness-2/Http.java
+++ b/review/harness-2/Http.java
@@ -234,7 +234,7 @@
     ByteArrayOutputStream text = new ByteArrayOutputStream();
     for (int b = in.read(); b >= 0; b = in.read()) {
       if (b == '\n') {
-        String line = text.toString(StandardCharsets.UTF_8);
+        String line = text.toString(StandardCharsets.ISO_8859_1);
         return line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
       }
       text.write(b);
