Show that a model named with an accent runs on KV cache of old weights

Cause: a model's name is read as ISO 8859-1 in a request and as UTF-8 in records, so the request's weight version is never known.

Change: review/8 changes the weights of such a model and replaces machines.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Clients send requests ahead on kept connections.
-exec "$(dirname "$0")/../run-case-2.sh" "$(cd "$(dirname "$0")" && pwd)" Pipelining
+# A model is named in the language of the site; its weights change and machines are replaced.
+exec "$(dirname "$0")/../run-case-2.sh" "$(cd "$(dirname "$0")" && pwd)" ModelName
