--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 choose_jdk
 rm -rf target/review-2
 mkdir -p target/review-2
-"$JAVA_HOME/bin/javac" -d target/review-2 review/harness-2/*.java
+"$JAVA_HOME/bin/javac" --release 21 -d target/review-2 review/harness-2/*.java
