Keep the cases on loopback addresses and end their nodes on signals

Cause: the search for a free port bound it on all addresses for a moment, and a driver that is stopped by a signal left its nodes running.

Change: free ports are sought on the loopback address; a shutdown hook ends each node and waits for it; a driver gives up after 110 s. No check has changed.

--- a/review/harness-2/Node.java
+++ b/review/harness-2/Node.java
@@ -1,5 +1,6 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,6 +10,17 @@
 /** A process of the system, started as the deploy file has it, with settings of a small site. */
 final class Node {
 
+  private static final String LOOPBACK = "127.0.0.1";
+
+  /** Time after which a driver gives up, below the 120 s that a script may run. */
+  private static final long TIME_LIMIT_MILLIS = 110_000;
+
+  private static final int NOT_RUN = 2;
+
+  static {
+    Thread.ofPlatform().daemon().start(Node::giveUpAfterTimeLimit);
+  }
+
   private final Journal journal;
   private final Process process;
   final String name;
@@ -34,11 +46,22 @@
     builder.environment().put("DRAGONFLYHILL_CONFIG", settings.toString());
     File log = folder.resolve(name + ".log").toFile();
     process = builder.redirectErrorStream(true).redirectOutput(log).start();
+    // Also ends the node if the driver is stopped by a signal.
+    Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
     journal.line("%s starts", name);
   }
 
+  private static void giveUpAfterTimeLimit() {
+    try {
+      Thread.sleep(TIME_LIMIT_MILLIS);
+      System.exit(NOT_RUN);
+    } catch (InterruptedException e) {
+      // The driver has ended.
+    }
+  }
+
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
       return socket.getLocalPort();
     }
   }
@@ -118,32 +141,25 @@
         == 200;
   }
 
-  boolean isAlive() {
-    return process.isAlive();
-  }
-
-  long pid() {
-    return process.pid();
-  }
-
   /** Stops the process as the platform does in a planned stop. */
   void terminate() {
     journal.line("SIGTERM to %s", name);
     process.destroy();
   }
 
-  void signal(String signal) throws IOException, InterruptedException {
-    journal.line("SIG%s to %s", signal, name);
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-  }
-
   boolean awaitExit(long millis) throws InterruptedException {
     boolean hasExited = process.waitFor(millis, java.util.concurrent.TimeUnit.MILLISECONDS);
     journal.line("%s %s", name, hasExited ? "has exited" : "is still there");
     return hasExited;
   }
 
+  /** Ends the process and waits until it is gone. */
   void kill() {
     process.destroyForcibly();
+    try {
+      process.waitFor();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
