--- a/review/harness-2/Node.java
+++ b/review/harness-2/Node.java
@@ -1,17 +1,25 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** A process of the system, started as the deploy file has it, with settings of a small site. */
 final class Node {
 
   private static final String LOOPBACK = "127.0.0.1";
 
+  /** Ports below those of outgoing connections. */
+  private static final int FIRST_PORT = 10_000;
+
+  private static final int LAST_PORT = 32_000;
+
   /** Time after which a driver gives up, below the 120 s that a script may run. */
   private static final long TIME_LIMIT_MILLIS = 110_000;
 
@@ -60,9 +68,17 @@
     }
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-      return socket.getLocalPort();
+  /** Returns a port that no outgoing connection is given, free for TCP and UDP. */
+  private static int freePort() throws IOException {
+    InetAddress loopback = InetAddress.getByName(LOOPBACK);
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket tcp = new ServerSocket(port, 1, loopback);
+          DatagramSocket udp = new DatagramSocket(port, loopback)) {
+        return port;
+      } catch (BindException e) {
+        // It is taken.
+      }
     }
   }
 
