--- a/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Runner.java
@@ -24,6 +24,9 @@
   /** Number of scheduling ranks that runners support, from the platform specification. */
   public static final int RANKS = 10;
 
+  /** Stands for the weight version of a model of which none was observed at a runner. */
+  public static final long UNKNOWN_WEIGHTS = 0;
+
   /** Smoothing factor of the moving average of the slowness. */
   private static final double SLOWNESS_WEIGHT = 0.1;
 
@@ -101,9 +104,9 @@
     weightVersions.merge(model, version, Math::max);
   }
 
-  /** Returns the newest weight version observed at the runner, 0 if unknown. */
+  /** Returns the newest weight version observed at the runner, or {@link #UNKNOWN_WEIGHTS}. */
   public long weightVersion(String model) {
-    return weightVersions.getOrDefault(model, 0L);
+    return weightVersions.getOrDefault(model, UNKNOWN_WEIGHTS);
   }
 
   /**
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
@@ -183,7 +183,9 @@
     boolean isPrefixCovered = true;
     for (int i = 0; i < shared.size(); i++) {
       Prompt.Part part = shared.get(i);
-      Optional<Source> source = fetchSource(request, runner, part, sources.of(salt, i), now);
+      // Parts of unknown weights may be of other weights than the runner's.
+      List<Source> holders = version == Runner.UNKNOWN_WEIGHTS ? List.of() : sources.of(salt, i);
+      Optional<Source> source = fetchSource(request, runner, part, holders, now);
       // Parts that the runner should have get a source too, since it may have evicted them by then.
       fetchSources.add(source.map(Source::endpoint));
       if (i < leading) {
@@ -407,7 +409,8 @@
    * A selected runner with the estimates on which the selection is based.
    *
    * @param runner the runner
-   * @param weightVersion weight version observed at the runner, 0 if unknown
+   * @param weightVersion weight version observed at the runner, {@link Runner#UNKNOWN_WEIGHTS} if
+   *     none was
    * @param salt salt of the request for that weight version
    * @param fetchSources source from which the runner should fetch each shared part if it lacks it
    * @param sourcesOfMissing sources of the parts that the runner is expected to lack
--- a/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RunnerSelectorTest.java
@@ -195,6 +195,25 @@
     assertEquals(selection.prefillTokens(), 2_888);
   }
 
+  /**
+   * Guards against KV cache of other weights (review case 8): of a model whose weights at a runner
+   * are not known, that runner fetches nothing.
+   */
+  @Test
+  public void fetchesNothingForUnknownWeights() {
+    Prompt prompt = new Prompt("other", 12_000, 100, HISTORY.parts());
+    var request = new RunnerSelector.Request(prompt, version -> SALT, "k", 327_680, 113_000, 1);
+    Runner other = runner("r2", 2);
+    hold(other.info().endpoint());
+    var selection =
+        selector
+            .selectForPrompt(request, List.of(runner("r1", 1)), List.of(source(other)), NOW)
+            .orElseThrow();
+    assertEquals(selection.weightVersion(), Runner.UNKNOWN_WEIGHTS);
+    assertTrue(selection.fetchSources().stream().allMatch(Optional::isEmpty));
+    assertEquals(selection.prefillTokens(), 12_000);
+  }
+
   /** Managed stores are preferred as sources, since runners evict parts when memory is short. */
   @Test
   public void fetchesFromStoresBeforeRunners() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -486,6 +486,16 @@
     }
   }
 
+  /**
+   * Records the weight version that an answer names. Nothing is recorded for a model that neither
+   * the operator nor the runner's entry names, since nothing would tell when its weights change.
+   */
+  void recordWeightVersion(Runner runner, String model, long version) {
+    if (runner.info().weightVersions().containsKey(model) || announcedWeights.newest(model) > 0) {
+      runner.observeWeightVersion(model, version);
+    }
+  }
+
   /** Returns the announced weight versions. */
   public AnnouncedWeights announcedWeights() {
     return announcedWeights;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -1158,7 +1158,7 @@
               prompt ->
                   responseHeaders
                       .weightVersion()
-                      .ifPresent(version -> runner.observeWeightVersion(prompt.model(), version)));
+                      .ifPresent(v -> state.recordWeightVersion(runner, prompt.model(), v)));
       int status = response.status().code();
       // With 421 another runner answers, at the address of the one that was expected.
       if (responseHeaders.isDraining() && status != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
@@ -75,8 +75,11 @@
     while (fetchSources.size() < prompt.get().parts().size()) {
       fetchSources.add(Optional.empty());
     }
-    List<Optional<Endpoint>> saveTargets =
-        new ArrayList<>(state.saveTargets(selection.salt(), prompt.get().sharedParts()));
+    List<Optional<Endpoint>> saveTargets = new ArrayList<>();
+    // A store drops nothing for new weights, so what it keeps has to name the weights it is for.
+    if (version != Runner.UNKNOWN_WEIGHTS) {
+      saveTargets.addAll(state.saveTargets(selection.salt(), prompt.get().sharedParts()));
+    }
     while (!saveTargets.isEmpty() && saveTargets.size() < prompt.get().parts().size()) {
       saveTargets.add(Optional.empty());
     }
@@ -88,7 +91,7 @@
     return Optional.of(
         new HeaderCodec.CacheInstructions(
             selection.salt(),
-            version == 0 ? OptionalLong.empty() : OptionalLong.of(version),
+            version == Runner.UNKNOWN_WEIGHTS ? OptionalLong.empty() : OptionalLong.of(version),
             fetchSources,
             runnerClock.isPresent()
                 ? OptionalLong.of(runnerClock.getAsLong() + MAX_FETCH_TIME.toMillis())
