Write names as UTF-8 and keep salts of different names apart

Salts percent-encode names; those of isolated organisations have a form that the release before cannot produce, and the salt that all others share is the same as before. The weight version is read from a salt in one place, which used to throw where one model is named like the beginning of another.

--- a/core/src/main/java/org/dragonflyhill/core/relay/CacheSalt.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CacheSalt.java
@@ -1,28 +1,51 @@
 package org.dragonflyhill.core.relay;
 
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.Collection;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Derives the salts under which runners and stores keep cached parts of prompts. Organisations that
  * are isolated have salts of their own. All others share one that depends on which ones are
  * isolated: an organisation that becomes isolated has left parts under the salt shared before.
  *
+ * <p>A salt consists of visible ASCII characters, so that header fields and JSON carry it
+ * unchanged. Its form is {@code MODEL/VERSION}, followed by {@code /ORGANISATION} if isolated or by
+ * {@code //DIGEST} of the isolated ones; names are percent-encoded, so different names never yield
+ * one salt. The shared salt of a model with a plain name is {@code MODEL@VERSION}, with {@code
+ * ##DIGEST}, as in release 3ede14c and earlier: both releases share their cache during an upgrade.
+ * Those wrote all names as they are, so their other salts cannot be told apart and are not used.
+ *
  * <p>Immutable and thread-safe; no argument may be null.
  */
 public final class CacheSalt {
 
-  /** Separates the weight version from the rest of a salt. */
-  private static final String SEPARATOR = "#";
+  /** Separates the items of a salt; percent-encoded names do not contain it. */
+  private static final String SEPARATOR = "/";
+
+  private static final String PLAIN_VERSION_SEPARATOR = "@";
+  private static final String PLAIN_DIGEST_SEPARATOR = "##";
+
+  /**
+   * Names of models that earlier releases wrote unambiguously. They replaced other characters with
+   * a question mark.
+   */
+  private static final Pattern PLAIN_NAME = Pattern.compile("[!-~&&[^@#?]]+");
+
+  /** What follows the model in a salt of this release or an earlier one. */
+  private static final Pattern VERSION_AND_REST = Pattern.compile("([0-9]{1,18})(?:[/#].*)?");
 
   /** Length of the digest of the isolated organisations, in bytes. */
   private static final int DIGEST_LENGTH = 8;
 
-  private final String sharedSuffix;
+  private final Optional<String> isolatedDigest;
 
   /** Creates the salts of a configuration with these organisations. */
   public CacheSalt(Collection<Organisation> organisations) {
@@ -32,7 +55,7 @@
             .map(Organisation::name)
             .sorted()
             .toList();
-    sharedSuffix = isolated.isEmpty() ? "" : SEPARATOR + SEPARATOR + digest(isolated);
+    isolatedDigest = isolated.isEmpty() ? Optional.empty() : Optional.of(digest(isolated));
   }
 
   private static String digest(List<String> names) {
@@ -43,14 +66,47 @@
     return HexFormat.of().formatHex(digest.digest(), 0, DIGEST_LENGTH);
   }
 
-  /** Returns the salt of a weight version of a model for an organisation, empty if none. */
+  /**
+   * Returns the salt of a weight version of a model for an organisation.
+   *
+   * @param model name of the model
+   * @param version weight version, or {@link Runner#UNKNOWN_WEIGHTS}
+   * @param organisation organisation that the request belongs to, empty if none
+   */
   public String of(String model, long version, Optional<Organisation> organisation) {
-    return model
-        + "@"
+    Optional<String> isolated =
+        organisation.filter(Organisation::isIsolated).map(Organisation::name);
+    // Earlier releases have parts of several versions under a salt of unknown weights.
+    boolean isPlain = version != Runner.UNKNOWN_WEIGHTS && PLAIN_NAME.matcher(model).matches();
+    if (isPlain && isolated.isEmpty()) {
+      return model
+          + PLAIN_VERSION_SEPARATOR
+          + version
+          + isolatedDigest.map(digest -> PLAIN_DIGEST_SEPARATOR + digest).orElse("");
+    }
+    return encode(model)
+        + SEPARATOR
         + version
-        + organisation
-            .filter(Organisation::isIsolated)
-            .map(isolated -> SEPARATOR + isolated.name())
-            .orElse(sharedSuffix);
+        + isolated
+            .map(name -> SEPARATOR + encode(name))
+            .or(() -> isolatedDigest.map(digest -> SEPARATOR + SEPARATOR + digest))
+            .orElse("");
+  }
+
+  /** Returns the weight version in a salt, empty if the salt is not one of the given model. */
+  public static OptionalLong weightVersion(String salt, String model) {
+    for (String prefix : List.of(encode(model) + SEPARATOR, model + PLAIN_VERSION_SEPARATOR)) {
+      if (salt.startsWith(prefix)) {
+        Matcher rest = VERSION_AND_REST.matcher(salt.substring(prefix.length()));
+        if (rest.matches()) {
+          return OptionalLong.of(Long.parseLong(rest.group(1)));
+        }
+      }
+    }
+    return OptionalLong.empty();
+  }
+
+  private static String encode(String name) {
+    return URLEncoder.encode(name, StandardCharsets.UTF_8);
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -20,6 +20,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import org.dragonflyhill.core.relay.AnnouncedWeights;
+import org.dragonflyhill.core.relay.CacheSalt;
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.ForwardTargets;
@@ -425,20 +426,31 @@
    * Returns parts in a store that belong to weights which no runner has any more, up to a limit.
    */
   List<PartDirectory.Key> partsOfReplacedWeights(Endpoint store, WeightsInUse inUse, int limit) {
-    return parts.partsWithSalt(store, salt -> isReplaced(salt, inUse)).stream()
+    Map<String, Boolean> isReplaced = new HashMap<>();
+    return parts
+        .partsWithSalt(
+            store, salt -> isReplaced.computeIfAbsent(salt, any -> isReplaced(salt, inUse)))
+        .stream()
         .limit(limit)
         .toList();
   }
 
+  /**
+   * Returns whether the weights of a salt are replaced. A salt of an earlier release may be that of
+   * several models; then all of them have to be.
+   */
   private boolean isReplaced(String salt, WeightsInUse inUse) {
+    boolean isOfKnownModel = false;
     for (String model : announcedWeights.newest().keySet()) {
-      String prefix = model + "@";
-      if (salt.startsWith(prefix)) {
-        String version = salt.substring(prefix.length()).split("#", 2)[0];
-        return inUse.isReplaced(model, Long.parseLong(version), now());
+      OptionalLong version = CacheSalt.weightVersion(salt, model);
+      if (version.isPresent()) {
+        isOfKnownModel = true;
+        if (!inUse.isReplaced(model, version.getAsLong(), now())) {
+          return false;
+        }
       }
     }
-    return false;
+    return isOfKnownModel;
   }
 
   private List<Service.Store> usableStores() {
