--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -98,6 +98,7 @@
   private final HttpRequest request;
   private final ByteBuf body;
   private final Arrival arrival;
+  private final RequestLog events;
   private final Set<String> triedRunners = new HashSet<>();
   private final EventStream eventStream = new EventStream();
   private final StreamBinding streamBinding = new StreamBinding();
@@ -156,6 +157,7 @@
     this.request = request;
     this.body = body;
     this.arrival = arrival;
+    events = new RequestLog(state, this::id);
   }
 
   /** Validates the request against the configuration and dispatches it to a runner. */
@@ -239,7 +241,7 @@
       }
       case StreamContinuation.GoOn goOn -> {
         streamBinding.bind(Optional.of(goOn.origin()));
-        logStreamTakenUp(goOn.origin(), known);
+        events.streamTakenUp(firstAttempt, goOn.origin(), known);
         startAt(goOn.origin().service());
       }
       case StreamContinuation.Refused refused ->
@@ -250,25 +252,6 @@
     }
   }
 
-  private void logStreamTakenUp(StreamOrigin origin, Optional<StreamOrigins.Known> known) {
-    state.metrics().count("relay.streams_taken_up");
-    state
-        .log()
-        .info(
-            "stream_taken_up",
-            event ->
-                event
-                    .with("request", id())
-                    .with("begun_by", firstAttempt)
-                    .with("software", origin.softwareVersion())
-                    .with("source", known.map(StreamOrigins.Known::source).orElse("sole version"))
-                    .with(
-                        "known_ms",
-                        known
-                            .map(k -> Duration.between(k.recordedAt(), state.now()).toMillis())
-                            .orElse(0L)));
-  }
-
   private String organisationName() {
     return organisation.map(Organisation::name).orElse("");
   }
@@ -399,16 +382,7 @@
     }
     triedPeers.add(target.get().node());
     isQueued = false;
-    state.metrics().count("relay.forwarded");
-    state
-        .log()
-        .info(
-            "request_forwarded",
-            event ->
-                event
-                    .with("request", id())
-                    .with("service", pool.name())
-                    .with("peer", target.get().node()));
+    events.forwarded(pool.name(), target.get().node());
     var forwarded = new ForwardedRequest(server.forwarder(), target.get(), id(), this);
     forwardedRequest = Optional.of(forwarded);
     forwarded.start();
@@ -430,24 +404,10 @@
   @Override
   public void onPeerNotReached(ForwardedRequest forwarded, String reason) {
     forwardedRequest = Optional.empty();
-    logPeerFailure(forwarded, reason);
+    events.peerFailed(forwarded, reason);
     dispatch();
   }
 
-  private void logPeerFailure(ForwardedRequest forwarded, String reason) {
-    state.metrics().count("relay.peer_failed");
-    state
-        .log()
-        .info(
-            "peer_failed",
-            event ->
-                event
-                    .with("request", id())
-                    .with("peer", forwarded.peer())
-                    .with("sent", forwarded.isSent())
-                    .with("detail", reason));
-  }
-
   @Override
   public void onPeerHeaders(HttpResponse response) {
     if (mayHaveRun && NOT_RUN_STATUSES.contains(response.status().code())) {
@@ -481,7 +441,7 @@
   public void onPeerFailed(ForwardedRequest forwarded, String reason) {
     forwardedRequest = Optional.empty();
     mayHaveRun = true;
-    logPeerFailure(forwarded, reason);
+    events.peerFailed(forwarded, reason);
     if (isResponseStarted || !route.isRepeatable() || !retryOnAnotherRunner("peer_failed")) {
       fail("peer_failed", "the node that served the request failed", RUNNER_FAILURE_RETRY_AFTER);
     }
@@ -605,18 +565,8 @@
   /** Queues the request at this node; {@link RequestQueue} retries it until its wait is over. */
   private void enqueue(String explanation, Instant now) {
     if (waitUntil.equals(Instant.MAX)) {
-      state
-          .log()
-          .info(
-              "request_waits",
-              event ->
-                  event
-                      .with("request", id())
-                      .with("route", route.name())
-                      .with("rank", rank())
-                      .with("detail", explanation));
+      events.waits(route, rank(), explanation);
       waitUntil = now.plus(Admission.maxWait(route.targetLatency()));
-      state.metrics().count("relay.waited");
     }
     server.queue().add(this);
     isQueued = true;
@@ -697,25 +647,11 @@
                 lastEventId));
     attempts.recordSent();
     hasUnusedRetry = false;
-    lastEventId.ifPresent(eventId -> logResumption(chosen, eventId));
+    lastEventId.ifPresent(last -> events.streamResumed(firstAttempt, last, chosen.runner));
     chosen.onSent(connection, now);
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
   }
 
-  private void logResumption(Attempt chosen, String lastEventId) {
-    state
-        .log()
-        .info(
-            "stream_resumed",
-            event ->
-                event
-                    .with("request", id())
-                    .with("begun_by", firstAttempt)
-                    .with("last_event", lastEventId)
-                    .with("runner", chosen.runner.id())
-                    .with("software", chosen.runner.info().softwareVersion().orElse("unknown")));
-  }
-
   private Admission.Standing standing() {
     if (streamBinding.isBound()) {
       return Admission.Standing.BEGUN;
@@ -803,7 +739,7 @@
     Instant now = state.now();
     Optional<String> obstacle = findRetryObstacle(now).or(() -> spendRetry(now));
     if (obstacle.isPresent()) {
-      logRetryDenied(reason, obstacle.get());
+      events.retryDenied(route, reason, obstacle.get());
       return false;
     }
     state.metrics().countRetry(reason);
@@ -833,20 +769,6 @@
     return hasUnusedRetry ? Optional.empty() : Optional.of("retry budget exhausted");
   }
 
-  private void logRetryDenied(String reason, String obstacle) {
-    state.metrics().count("relay.retry_denied");
-    state
-        .log()
-        .info(
-            "retry_denied",
-            event ->
-                event
-                    .with("request", id())
-                    .with("route", route.name())
-                    .with("reason", reason)
-                    .with("detail", obstacle));
-  }
-
   /**
    * Fails the request: aborts a response that has started, and otherwise answers with an error that
    * tells whether the request may have run.
@@ -882,10 +804,7 @@
   }
 
   private void abortResponse(String reason) {
-    state.metrics().count("relay.broken_off");
-    state
-        .log()
-        .info("answer_broken_off", event -> event.with("request", id()).with("reason", reason));
+    events.answerBrokenOff(reason);
     finish();
     caller.abort();
   }
@@ -1020,7 +939,7 @@
     }
     if (obstacle.isPresent()) {
       if (!isReported) {
-        logRetryDenied("runner_silent", obstacle.get());
+        events.retryDenied(route, "runner_silent", obstacle.get());
       }
       return;
     }
@@ -1410,7 +1329,7 @@
       boolean isRetryAllowed = isResponseStarted ? isResumable() : route.isRepeatable();
       if (isRetryAllowed && isSuspect()) {
         // The crash that may have broken off this answer is not known yet; an earlier one is.
-        logRetryDenied("broken", "a runner has crashed under " + requestKey());
+        events.retryDenied(route, "broken", "a runner has crashed under " + requestKey());
         isRetryAllowed = false;
       }
       if (!isRetryAllowed || !retryOnAnotherRunner("broken")) {
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RequestLog.java
@@ -0,0 +1,121 @@
+package org.dragonflyhill.daemon.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.dragonflyhill.core.relay.Route;
+import org.dragonflyhill.core.relay.Runner;
+import org.dragonflyhill.core.relay.StreamOrigin;
+import org.dragonflyhill.core.relay.StreamOrigins;
+
+/** Log lines and counters of one caller's request, which each line names. */
+final class RequestLog {
+
+  private final RelayState state;
+  private final Supplier<String> requestId;
+
+  /**
+   * Creates the log of a request.
+   *
+   * @param state state of the node
+   * @param requestId returns the id of the request, "" until it is known
+   */
+  RequestLog(RelayState state, Supplier<String> requestId) {
+    this.state = state;
+    this.requestId = requestId;
+  }
+
+  void streamTakenUp(String begunBy, StreamOrigin origin, Optional<StreamOrigins.Known> known) {
+    state.metrics().count("relay.streams_taken_up");
+    state
+        .log()
+        .info(
+            "stream_taken_up",
+            event ->
+                event
+                    .with("request", requestId.get())
+                    .with("begun_by", begunBy)
+                    .with("software", origin.softwareVersion())
+                    .with("source", known.map(StreamOrigins.Known::source).orElse("sole version"))
+                    .with(
+                        "known_ms",
+                        known
+                            .map(k -> Duration.between(k.recordedAt(), state.now()).toMillis())
+                            .orElse(0L)));
+  }
+
+  void streamResumed(String begunBy, String lastEventId, Runner runner) {
+    state
+        .log()
+        .info(
+            "stream_resumed",
+            event ->
+                event
+                    .with("request", requestId.get())
+                    .with("begun_by", begunBy)
+                    .with("last_event", lastEventId)
+                    .with("runner", runner.id())
+                    .with("software", runner.info().softwareVersion().orElse("unknown")));
+  }
+
+  void forwarded(String service, String peer) {
+    state.metrics().count("relay.forwarded");
+    state
+        .log()
+        .info(
+            "request_forwarded",
+            event ->
+                event.with("request", requestId.get()).with("service", service).with("peer", peer));
+  }
+
+  void peerFailed(ForwardedRequest forwarded, String reason) {
+    state.metrics().count("relay.peer_failed");
+    state
+        .log()
+        .info(
+            "peer_failed",
+            event ->
+                event
+                    .with("request", requestId.get())
+                    .with("peer", forwarded.peer())
+                    .with("sent", forwarded.isSent())
+                    .with("detail", reason));
+  }
+
+  void waits(Route route, int rank, String explanation) {
+    state.metrics().count("relay.waited");
+    state
+        .log()
+        .info(
+            "request_waits",
+            event ->
+                event
+                    .with("request", requestId.get())
+                    .with("route", route.name())
+                    .with("rank", rank)
+                    .with("detail", explanation));
+  }
+
+  void retryDenied(Route route, String reason, String obstacle) {
+    state.metrics().count("relay.retry_denied");
+    state
+        .log()
+        .info(
+            "retry_denied",
+            event ->
+                event
+                    .with("request", requestId.get())
+                    .with("route", route.name())
+                    .with("reason", reason)
+                    .with("detail", obstacle));
+  }
+
+  void answerBrokenOff(String reason) {
+    state.metrics().count("relay.broken_off");
+    state
+        .log()
+        .info(
+            "answer_broken_off",
+            event -> event.with("request", requestId.get()).with("reason", reason));
+  }
+}
