Answer at once when a request cannot be dispatched for an error

Callers saw: no answer until their deadline, for each request of an organisation whose name holds a line feed.

Cause: the header field could not be written; the exception was thrown in a callback of RunnerConnectionPool, and the event loop only logs those. Errors in a retry from the queue or from a timer ended the whole pass instead, so other requests went without it.

Change: each step of a request that a callback or timer starts answers 500 if it throws, logs request_failed with the place, and closes the connection that was to carry the request. Forwarding to a peer fails in the same way.

Evidence: RelayTest.answersAtOnceWhenSendingFails timed out with the code before, and passes now, with the clock stopped; RelayTest and CutOffNodeTest pass.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ForwardedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ForwardedRequest.java
@@ -43,7 +43,12 @@
       return;
     }
     connection = Optional.of(opened);
-    opened.send(owner.forwardedHead(), owner.forwardedBody(), id, this);
+    try {
+      opened.send(owner.forwardedHead(), owner.forwardedBody(), id, this);
+    } catch (RuntimeException | Error e) {
+      opened.cancel();
+      onFailure("error in this node: " + e);
+    }
   }
 
   private void onNotConnected(String reason) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -163,6 +163,28 @@
   /** Validates the request against the configuration and dispatches it to a runner. */
   void start() {
     server.requestStarted(this);
+    runOrFail(this::validateAndDispatch);
+  }
+
+  /** Runs a step of this request. If it throws, the caller is answered now, not at the deadline. */
+  private void runOrFail(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      events.stepFailed(e);
+      if (isResponseStarted) {
+        abortResponse("internal_error");
+      } else {
+        refuse(
+            HttpResponseStatus.INTERNAL_SERVER_ERROR,
+            "internal_error",
+            "the node failed to handle the request",
+            Optional.empty());
+      }
+    }
+  }
+
+  private void validateAndDispatch() {
     state.metrics().count("relay.requests");
     if (request.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) {
       caller.closeAfterResponse();
@@ -212,7 +234,7 @@
       refuse(HttpResponseStatus.BAD_REQUEST, "malformed", resumed.getLeft(), Optional.empty());
     } else if (resumed.get().isPresent()) {
       firstAttempt = resumed.get().get();
-      state.streamOrigins().find(firstAttempt, this::continueStream);
+      state.streamOrigins().find(firstAttempt, known -> runOrFail(() -> continueStream(known)));
     } else {
       firstAttempt = id();
       continueStream(Optional.empty());
@@ -455,8 +477,8 @@
         .runnerConnections()
         .acquire(
             chosen.runner.info().endpoint(),
-            connection -> send(chosen, connection),
-            error -> onConnectFailed(chosen, error));
+            connection -> runOrFail(() -> sendOrClose(chosen, connection)),
+            error -> runOrFail(() -> onConnectFailed(chosen, error)));
   }
 
   /** Returns the key of this request or of a part of its prompt if runners crash under it. */
@@ -580,7 +602,7 @@
   @Override
   public boolean tryDispatch(Instant now) {
     if (isQueued && !isFinished) {
-      dispatch();
+      runOrFail(this::dispatch);
     }
     return isFinished || !isQueued;
   }
@@ -619,6 +641,19 @@
     return caller.isConnected();
   }
 
+  /** Sends the request; if that fails, the connection must not carry another one. */
+  private void sendOrClose(Attempt chosen, RunnerConnection connection) {
+    boolean isDone = false;
+    try {
+      send(chosen, connection);
+      isDone = true;
+    } finally {
+      if (!isDone) {
+        connection.channel().close();
+      }
+    }
+  }
+
   private void send(Attempt chosen, RunnerConnection connection) {
     if (isFinished || currentAttempt.filter(chosen::equals).isEmpty() || !maySend()) {
       server.runnerConnections().release(connection);
@@ -853,6 +888,10 @@
       onTimeout();
       return;
     }
+    runOrFail(() -> checkProgress(now));
+  }
+
+  private void checkProgress(Instant now) {
     currentAttempt.ifPresent(Attempt::checkSoundness);
     Optional<String> crashCause = isResponseStarted ? Optional.empty() : crashCause(now);
     if (crashCause.isPresent()) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RequestLog.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RequestLog.java
@@ -118,4 +118,19 @@
             "answer_broken_off",
             event -> event.with("request", requestId.get()).with("reason", reason));
   }
+
+  /** Logs an error in the node itself, with the place in the code. */
+  void stepFailed(Throwable error) {
+    StackTraceElement[] trace = error.getStackTrace();
+    state.metrics().count("relay.internal_errors");
+    state
+        .log()
+        .info(
+            "request_failed",
+            event ->
+                event
+                    .with("request", requestId.get())
+                    .with("error", error.toString())
+                    .with("at", trace.length == 0 ? "" : trace[0].toString()));
+  }
 }
