Keep organisations apart where a prompt cannot be read

Cause: such requests are relayed without cache instructions, so without a salt, which the platform defines as one salt of all.

Change: a request to a model runner always has a salt. Where the prompt is not known, it names only the organisation, if isolated, and no weights; nothing is fetched or saved.

Evidence: RelayTest.keepsOrganisationsApartWithoutReadablePrompts failed in 5 of 5 cases before, and passes now with the rest of RelayTest.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/HeaderCodec.java
@@ -97,7 +97,14 @@
       OptionalLong weightVersion,
       List<Optional<Endpoint>> fetchSources,
       OptionalLong fetchDeadlineMillis,
-      List<Optional<Endpoint>> saveTargets) {}
+      List<Optional<Endpoint>> saveTargets) {
+
+    /** Returns instructions to use the KV cache under a salt, but no other holder of parts. */
+    static CacheInstructions withSalt(String salt) {
+      return new CacheInstructions(
+          salt, OptionalLong.empty(), List.of(), OptionalLong.empty(), List.of());
+    }
+  }
 
   /**
    * Header fields of a runner's response.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -678,7 +678,7 @@
                 timeLeft(now),
                 organisation.map(Organisation::name),
                 urgency(),
-                chosen.cacheInstructions(),
+                chosen.cacheInstructions().or(this::saltOfUnknownPrompt),
                 lastEventId));
     attempts.recordSent();
     hasUnusedRetry = false;
@@ -687,6 +687,16 @@
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
   }
 
+  /**
+   * Returns the salt of a request to a model runner whose prompt this node cannot read; without one
+   * the runner would share the request's parts with those of all organisations.
+   */
+  private Optional<HeaderCodec.CacheInstructions> saltOfUnknownPrompt() {
+    return pool.engine()
+        .map(engine -> configuration.cacheSalt().of("", Runner.UNKNOWN_WEIGHTS, organisation))
+        .map(HeaderCodec.CacheInstructions::withSalt);
+  }
+
   private Admission.Standing standing() {
     if (streamBinding.isBound()) {
       return Admission.Standing.BEGUN;
