Relay bytes outside ASCII in request targets unchanged

Cause: the decoder gives one character for each byte, the encoder wrote UTF-8. Prefixes in the configuration are Unicode and were compared with bytes.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -138,7 +137,7 @@
                         .pipeline()
                         .addLast(
                             WriteErrorHandler.INSTANCE,
-                            new HttpRequestEncoder(),
+                            new TransparentRequestEncoder(),
                             new StrictResponseDecoder());
                   }
                 })
