Give later attempts of a request the salt of the newest configuration

Callers would have seen: KV cache of an organisation that was isolated meanwhile (WALL), by streams that go on at another runner or requests that are sent once more after the change.

Cause: the salt came from the configuration under which the request began.

Change: it comes from the newest one at each attempt. An organisation that is isolated in either has a salt of its own.

Evidence: IsolatedLaterTest failed in 2 of 2 cases before (salt m@3 both times) and passes now. A sequence of seven configurations keeps the wall in CacheSaltTest, also with the code before.

--- a/core/src/main/java/org/dragonflyhill/core/relay/CacheSalt.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/CacheSalt.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -45,20 +47,20 @@
   /** Length of the digest of the isolated organisations, in bytes. */
   private static final int DIGEST_LENGTH = 8;
 
+  private final SortedSet<String> isolatedNames = new TreeSet<>();
   private final Optional<String> isolatedDigest;
 
   /** Creates the salts of a configuration with these organisations. */
   public CacheSalt(Collection<Organisation> organisations) {
-    List<String> isolated =
-        organisations.stream()
-            .filter(Organisation::isIsolated)
-            .map(Organisation::name)
-            .sorted()
-            .toList();
-    isolatedDigest = isolated.isEmpty() ? Optional.empty() : Optional.of(digest(isolated));
+    organisations.stream()
+        .filter(Organisation::isIsolated)
+        .map(Organisation::name)
+        .forEach(isolatedNames::add);
+    isolatedDigest =
+        isolatedNames.isEmpty() ? Optional.empty() : Optional.of(digest(isolatedNames));
   }
 
-  private static String digest(List<String> names) {
+  private static String digest(SortedSet<String> names) {
     MessageDigest digest = RequestFingerprint.sha256();
     for (String name : names) {
       digest.update((name.length() + ":" + name).getBytes(StandardCharsets.UTF_8));
@@ -67,7 +69,8 @@
   }
 
   /**
-   * Returns the salt of a weight version of a model for an organisation.
+   * Returns the salt of a weight version of a model for an organisation, which may be that of an
+   * earlier configuration: it has a salt of its own if it is isolated in either.
    *
    * @param model name of the model
    * @param version weight version, or {@link Runner#UNKNOWN_WEIGHTS}
@@ -75,7 +78,9 @@
    */
   public String of(String model, long version, Optional<Organisation> organisation) {
     Optional<String> isolated =
-        organisation.filter(Organisation::isIsolated).map(Organisation::name);
+        organisation
+            .filter(caller -> caller.isIsolated() || isolatedNames.contains(caller.name()))
+            .map(Organisation::name);
     // Earlier releases have parts of several versions under a salt of unknown weights.
     boolean isPlain = version != Runner.UNKNOWN_WEIGHTS && PLAIN_NAME.matcher(model).matches();
     if (isPlain && isolated.isEmpty()) {
--- a/core/src/main/java/org/dragonflyhill/core/relay/RelayConfiguration.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RelayConfiguration.java
@@ -13,8 +13,8 @@
 /**
  * One version of the operator's configuration: routes, services, organisations and limits.
  *
- * <p>Each request is handled with the same version from start to end. Immutable and thread-safe; no
- * argument may be null.
+ * <p>Each request is handled with the same version from start to end, except for its {@linkplain
+ * CacheSalt salt}. Immutable and thread-safe; no argument may be null.
  */
 public final class RelayConfiguration {
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -621,7 +621,7 @@
     var selectionRequest =
         new RunnerSelector.Request(
             prompt,
-            version -> configuration.cacheSalt().of(prompt.model(), version, organisation),
+            version -> salt(prompt.model(), version),
             affinity,
             engine.bytesPerToken(),
             engine.memoryTokens(),
@@ -687,13 +687,21 @@
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
   }
 
+  /**
+   * Returns the salt by the newest configuration: one that isolates an organisation also binds the
+   * later attempts of requests that began under the configuration before.
+   */
+  private String salt(String model, long version) {
+    return state.configuration().orElse(configuration).cacheSalt().of(model, version, organisation);
+  }
+
   /**
    * Returns the salt of a request to a model runner whose prompt this node cannot read; without one
    * the runner would share the request's parts with those of all organisations.
    */
   private Optional<HeaderCodec.CacheInstructions> saltOfUnknownPrompt() {
     return pool.engine()
-        .map(engine -> configuration.cacheSalt().of("", Runner.UNKNOWN_WEIGHTS, organisation))
+        .map(engine -> salt("", Runner.UNKNOWN_WEIGHTS))
         .map(HeaderCodec.CacheInstructions::withSalt);
   }
 
