Limit the incomplete events of all streams of a node together

Callers saw (report of another operator, reproduced): a node runs out of memory when runners send bytes without end, and requests of other callers time out.

The array of a long event was kept for the rest of its stream.

Ruled out: heads without end, fields, garbage, interim responses, chunk extensions and trailers, 200 callers each; no OutOfMemoryError.

Change: incomplete events count in RelayMemory and may use a fifth of it. When that is used up, a stream with an incomplete event of more than 8 KB is broken off; others go on.

--- a/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
@@ -8,7 +8,8 @@
  * one.
  *
  * <p>The bytes of an incomplete event are buffered, so that a stream that breaks off can be resumed
- * at another runner after the last complete event. Not thread-safe; no argument may be null.
+ * at another runner after the last complete event. They count in a budget that all streams of the
+ * node share. Not thread-safe; no argument may be null.
  */
 public final class EventStream {
 
@@ -17,27 +18,53 @@
 
   private static final String ID_FIELD = "id:";
 
-  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  /** Number of bytes of an incomplete event that are accepted even if the budget is used up. */
+  public static final int MAX_SMALL_EVENT_BYTES = 8 * 1_024;
+
+  private final ByteBudget.Share buffered;
+  private ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private boolean isBudgetKept = true;
   private final StringBuilder line = new StringBuilder();
   private Optional<String> pendingId = Optional.empty();
   private Optional<String> lastId = Optional.empty();
   private boolean isLineEmpty = true;
   private boolean isInsideEvent;
 
+  /**
+   * Creates a stream without events.
+   *
+   * @param buffered share of the budget in which the bytes of an incomplete event count
+   */
+  public EventStream(ByteBudget.Share buffered) {
+    this.buffered = buffered;
+  }
+
   /** Appends received bytes and returns the bytes of all events that are complete now. */
   public byte[] append(byte[] bytes) {
     int completeLength = scan(bytes);
     if (completeLength == 0) {
-      pending.write(bytes, 0, bytes.length);
+      addPending(bytes, 0, bytes.length);
       return new byte[0];
     }
     pending.write(bytes, 0, completeLength);
     byte[] complete = pending.toByteArray();
-    pending.reset();
-    pending.write(bytes, completeLength, bytes.length - completeLength);
+    clearPending();
+    addPending(bytes, completeLength, bytes.length - completeLength);
     return complete;
   }
 
+  private void addPending(byte[] bytes, int from, int count) {
+    pending.write(bytes, from, count);
+    isBudgetKept = buffered.add(count);
+  }
+
+  private void clearPending() {
+    // A stream that has had a long event must not keep the array that held it.
+    pending = new ByteArrayOutputStream();
+    buffered.release();
+    isBudgetKept = true;
+  }
+
   /** Records received bytes that are relayed without waiting for the end of their event. */
   public void track(byte[] bytes) {
     scan(bytes);
@@ -81,16 +108,25 @@
 
   /** Discards the bytes of an incomplete event before the stream is resumed at another runner. */
   public void dropPartial() {
-    pending.reset();
+    clearPending();
     line.setLength(0);
     isLineEmpty = true;
     isInsideEvent = false;
     pendingId = Optional.empty();
   }
 
-  /** Returns whether more bytes of an incomplete event are buffered than an event may have. */
-  public boolean isEventTooLong() {
-    return pending.size() > MAX_EVENT_BYTES;
+  /**
+   * Returns why the incomplete event must not grow any more, empty if it may: it is too long, or it
+   * is long and the incomplete events of all streams together use up their budget.
+   */
+  public Optional<String> lengthError() {
+    int size = pending.size();
+    if (size > MAX_EVENT_BYTES) {
+      return Optional.of("event longer than " + MAX_EVENT_BYTES + " bytes");
+    }
+    return size > MAX_SMALL_EVENT_BYTES && !isBudgetKept
+        ? Optional.of("event of " + size + " bytes while those of all streams hold too many")
+        : Optional.empty();
   }
 
   /** Returns whether the bytes received so far end inside an event. */
--- a/core/src/main/java/org/dragonflyhill/core/relay/RelayMemory.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RelayMemory.java
@@ -2,7 +2,8 @@
 
 /**
  * The bytes that a node may hold for others: bodies of requests, responses that callers have not
- * taken, and responses of the control interfaces, all counted in one budget.
+ * taken, incomplete events of streams, and responses of the control interfaces, all counted in one
+ * budget.
  *
  * <p>Each kind stops at its own fraction of the budget, so that large bodies do not keep out small
  * ones, and neither keeps out the control responses without which the node cannot work.
@@ -23,13 +24,18 @@
   /** Fraction above which responses that callers do not take are given up. */
   private static final double RESPONSE_FRACTION = 0.75;
 
+  /** Fraction that the incomplete events of all streams may use. */
+  private static final double EVENT_FRACTION = 0.2;
+
   private final long maxBytes;
   private final ByteBudget budget;
+  private final ByteBudget events;
 
   /** Creates a budget of a number of bytes. */
   public RelayMemory(long maxBytes) {
     this.maxBytes = maxBytes;
     budget = new ByteBudget(maxBytes, maxBytes);
+    events = budget.part(EventStream.MAX_EVENT_BYTES, (long) (maxBytes * EVENT_FRACTION));
   }
 
   /** Returns the budget of a node with the heap limit of this process. */
@@ -42,6 +48,11 @@
     return budget.open();
   }
 
+  /** Returns the bytes of the incomplete event of one stream. */
+  public ByteBudget.Share openEvent() {
+    return events.open();
+  }
+
   /**
    * Returns a budget for control responses, whose bytes are counted in this one too.
    *
--- a/core/src/test/java/org/dragonflyhill/core/relay/EventStreamTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/EventStreamTest.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import org.testng.annotations.Test;
@@ -14,6 +16,8 @@
 /** Event streams, the shares of a route and the shared retry budget. */
 public final class EventStreamTest {
 
+  private static final long MEMORY_BYTES = 10_000_000;
+
   private static final Instant NOW = Instant.ofEpochSecond(1_000);
 
   private static byte[] bytes(String text) {
@@ -31,7 +35,7 @@
     byte[] all = bytes(text.toString());
     for (int seed = 0; seed < 50; seed++) {
       Random random = new Random(seed);
-      EventStream stream = new EventStream();
+      EventStream stream = new EventStream(new RelayMemory(MEMORY_BYTES).openEvent());
       StringBuilder out = new StringBuilder();
       int at = 0;
       while (at < all.length) {
@@ -46,10 +50,38 @@
     }
   }
 
+  /**
+   * Guards against a node that runs out of memory when many runners send events without end: a long
+   * incomplete event is given up once those of all streams hold a fifth of the memory, and a short
+   * one goes on.
+   */
+  @Test
+  public void limitsIncompleteEventsOfAllStreamsTogether() {
+    RelayMemory memory = new RelayMemory(MEMORY_BYTES);
+    List<EventStream> streams = new ArrayList<>();
+    long held = 0;
+    while (held <= MEMORY_BYTES / 5) {
+      EventStream stream = new EventStream(memory.openEvent());
+      streams.add(stream);
+      stream.append(new byte[EventStream.MAX_EVENT_BYTES]);
+      held += EventStream.MAX_EVENT_BYTES;
+      assertEquals(memory.total(), held);
+      assertEquals(stream.lengthError().isPresent(), held > MEMORY_BYTES / 5, held + " bytes");
+    }
+    EventStream sound = new EventStream(memory.openEvent());
+    sound.append(new byte[EventStream.MAX_SMALL_EVENT_BYTES]);
+    assertEquals(sound.lengthError(), Optional.empty());
+    sound.append(bytes("\n\n"));
+    assertEquals(memory.total(), held, "complete events are not held");
+    streams.forEach(EventStream::dropPartial);
+    assertEquals(memory.total(), 0);
+    assertEquals(streams.get(streams.size() - 1).lengthError(), Optional.empty());
+  }
+
   /** After a partial event is dropped, the stream continues behind the last complete event. */
   @Test
   public void dropsThePartialEvent() {
-    EventStream stream = new EventStream();
+    EventStream stream = new EventStream(new RelayMemory(MEMORY_BYTES).openEvent());
     assertEquals(stream.append(bytes("id: 1\ndata: a\n\nid: 2\nda")).length, 15);
     assertTrue(stream.isInsideEvent());
     assertEquals(stream.lastId(), Optional.of("1"));
@@ -61,7 +93,7 @@
   /** A stream that is only tracked is inside an event exactly between two event boundaries. */
   @Test
   public void tracksEventBoundaries() {
-    EventStream stream = new EventStream();
+    EventStream stream = new EventStream(new RelayMemory(MEMORY_BYTES).openEvent());
     assertFalse(stream.isInsideEvent());
     stream.track(bytes("id: 1\ndata: a\n"));
     assertTrue(stream.isInsideEvent());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -100,7 +100,7 @@
   private final Arrival arrival;
   private final RequestLog events;
   private final Set<String> triedRunners = new HashSet<>();
-  private final EventStream eventStream = new EventStream();
+  private final EventStream eventStream;
   private final StreamBinding streamBinding = new StreamBinding();
 
   /** Id of the caller's attempt that brought or will bring the first event of the stream. */
@@ -158,6 +158,7 @@
     this.body = body;
     this.arrival = arrival;
     events = new RequestLog(state, this::id);
+    eventStream = new EventStream(server.memory().openEvent());
   }
 
   /** Validates the request against the configuration and dispatches it to a runner. */
@@ -871,6 +872,7 @@
     currentAttempt = Optional.empty();
     cancelSilentAttempt();
     forwardedRequest.ifPresent(ForwardedRequest::cancel);
+    eventStream.dropPartial();
     body.release();
     server.requestFinished(this);
   }
@@ -1279,9 +1281,10 @@
           bindStream();
           caller.writeContent(Unpooled.wrappedBuffer(completeEvents));
         }
-        if (eventStream.isEventTooLong()) {
+        Optional<String> lengthError = eventStream.lengthError();
+        if (lengthError.isPresent()) {
           cancel();
-          onBrokenOff("event longer than " + EventStream.MAX_EVENT_BYTES + " bytes");
+          onBrokenOff(lengthError.get());
           return;
         }
       } else {
