--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -37,7 +37,6 @@
 import org.dragonflyhill.core.relay.Prompt;
 import org.dragonflyhill.core.relay.RateLimitForecast;
 import org.dragonflyhill.core.relay.RelayConfiguration;
-import org.dragonflyhill.core.relay.RequestFingerprint;
 import org.dragonflyhill.core.relay.Route;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.RunnerSelector;
@@ -111,9 +110,9 @@
   private Route route;
   private Service.Pool pool;
   private Optional<Organisation> organisation = Optional.empty();
+  private CrashCheck crashCheck;
   private Instant callerDeadline = Instant.MAX;
   private Instant deadline = Instant.MAX;
-  private String fingerprint = "";
   private final AttemptLimit attempts = new AttemptLimit();
   private int unreachableRunners;
 
@@ -219,6 +218,14 @@
       refuse(HttpResponseStatus.UNAUTHORIZED, "unknown_key", "unknown key", Optional.empty());
       return;
     }
+    String callerKey = requestHeaders.apiKey().filter(key -> organisation.isEmpty()).orElse("");
+    crashCheck =
+        new CrashCheck(
+            state.crashSuspects(),
+            organisationName() + '\n' + callerKey,
+            request,
+            body,
+            requestHeaders.prompt().map(Prompt::sharedPartKeys).orElse(List.of()));
     Instant routeDeadline = arrival.readAt().plus(route.timeout());
     deadline = callerDeadline.isBefore(routeDeadline) ? callerDeadline : routeDeadline;
     if (route.kind() == Route.Kind.STREAM && route.isResumable()) {
@@ -318,31 +325,12 @@
     return requestHeaders == null ? "" : requestHeaders.id().orElse("");
   }
 
-  private List<String> sharedPartKeys() {
-    return requestHeaders.prompt().map(Prompt::sharedPartKeys).orElse(List.of());
-  }
-
-  /** Returns what this request has in common with those that are alike. */
-  private String fingerprint() {
-    if (fingerprint.isEmpty()) {
-      String caller = requestHeaders.apiKey().filter(key -> organisation.isEmpty()).orElse("");
-      fingerprint =
-          RequestFingerprint.of(
-              organisationName() + '\n' + caller,
-              request.method().name(),
-              request.headers().get(HttpHeaderNames.HOST),
-              request.uri(),
-              body.nioBuffer());
-    }
-    return fingerprint;
-  }
-
   private void dispatch() {
     if (isFinished) {
       return;
     }
     Instant now = state.now();
-    Optional<String> crashCause = crashCause(now);
+    Optional<String> crashCause = crashCheck.cause(now);
     if (crashCause.isPresent()) {
       failCrashingRequest(crashCause.get());
       return;
@@ -482,25 +470,6 @@
             error -> runOrFail(() -> onConnectFailed(chosen, error)));
   }
 
-  /** Returns the key of this request or of a part of its prompt if runners crash under it. */
-  private Optional<String> crashCause(Instant now) {
-    if (state.crashSuspects().isEmpty()) {
-      return Optional.empty();
-    }
-    List<String> keys = new ArrayList<>(List.of(requestKey()));
-    keys.addAll(sharedPartKeys());
-    return state.crashSuspects().blockedSuspect(keys, now);
-  }
-
-  /** Returns whether a runner has crashed under a request like this. */
-  private boolean isSuspect() {
-    return !state.crashSuspects().isEmpty() && state.crashSuspects().isSuspect(requestKey());
-  }
-
-  private String requestKey() {
-    return CrashSuspects.requestKey(fingerprint());
-  }
-
   /** Fails the request with a status that does not tell the caller to try again. */
   private void failCrashingRequest(String cause) {
     boolean isRequest = CrashSuspects.isRequest(cause);
@@ -809,7 +778,7 @@
     if (!now.isBefore(deadline)) {
       return Optional.of("deadline exceeded");
     }
-    Optional<String> crashCause = crashCause(now);
+    Optional<String> crashCause = crashCheck.cause(now);
     if (crashCause.isPresent()) {
       return Optional.of("runners crash under " + crashCause.get());
     }
@@ -913,7 +882,7 @@
 
   private void checkProgress(Instant now) {
     currentAttempt.ifPresent(Attempt::checkSoundness);
-    Optional<String> crashCause = isResponseStarted ? Optional.empty() : crashCause(now);
+    Optional<String> crashCause = isResponseStarted ? Optional.empty() : crashCheck.cause(now);
     if (crashCause.isPresent()) {
       failCrashingRequest(crashCause.get());
       return;
@@ -942,7 +911,7 @@
   /** Sends a second copy of a late request to another runner if the policy permits it. */
   private void sendCopy(Attempt late, RequestHedge copyOf, Instant now) {
     Optional<HedgeDenial> denial =
-        isSuspect() || findRetryObstacle(now).isPresent()
+        crashCheck.isSuspect() || findRetryObstacle(now).isPresent()
             ? Optional.of(HedgeDenial.NOT_RETRIABLE)
             : Optional.empty();
     Optional<Attempt> copy =
@@ -1098,9 +1067,9 @@
 
     private void recordSoundAnswer() {
       isSoundRecorded = true;
-      List<String> keys = new ArrayList<>(sharedPartKeys());
-      if (isSuspect()) {
-        keys.add(requestKey());
+      List<String> keys = new ArrayList<>(crashCheck.sharedPartKeys());
+      if (crashCheck.isSuspect()) {
+        keys.add(crashCheck.requestKey());
       }
       state.crashSuspects().recordSoundAnswer(keys, answeredAt);
     }
@@ -1375,7 +1344,8 @@
             .crashDetector()
             .onAnswerBrokenOff(
                 runner,
-                new RunnerCrashDetector.Suspect(id(), fingerprint(), sharedPartKeys(), sentAt));
+                new RunnerCrashDetector.Suspect(
+                    id(), crashCheck.fingerprint(), crashCheck.sharedPartKeys(), sentAt));
       }
       if (silentAttempt.filter(this::equals).isPresent()) {
         cancelSilentAttempt();
@@ -1387,9 +1357,10 @@
       }
       eventStream.dropPartial();
       boolean isRetryAllowed = isResponseStarted ? isResumable() : route.isRepeatable();
-      if (isRetryAllowed && isSuspect()) {
+      if (isRetryAllowed && crashCheck.isSuspect()) {
         // The crash that may have broken off this answer is not known yet; an earlier one is.
-        events.retryDenied(route, "broken", "a runner has crashed under " + requestKey());
+        events.retryDenied(
+            route, "broken", "a runner has crashed under " + crashCheck.requestKey());
         isRetryAllowed = false;
       }
       if (!isRetryAllowed || !retryOnAnotherRunner("broken")) {
