Take only requests that can end in time during a planned stop

Callers saw (report of another operator, reproduced): requests that came 2 s after SIGTERM were passed on and cut without an answer at the end of the grace period, also those that must not be repeated (LOST).

Cause: a stopping node took all requests for 2.9 s, whatever time they need, and exited with their connections open.

Change: it takes a request only if its deadline lies before the end, or if requests of its route have taken so little that it fits. What it does not take is refused with 503 at once. Shortly before the end it answers what is left, with 502 if that may have run. Grace periods shorter than 2.9 s are kept.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/GracefulShutdown.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/GracefulShutdown.java
@@ -3,11 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
+import org.dragonflyhill.core.relay.ShutdownAdmission;
 
 /**
- * Shuts a node down without interrupting requests. The node reports itself as not ready at once,
- * refuses new requests as soon as the load balancer has stopped sending them, and exits when no
- * request is running or the grace period ends.
+ * Shuts a node down without interrupting requests. The node reports itself as not ready at once and
+ * accepts only requests that can end in time, none once the load balancer has stopped sending them.
+ * It exits when no request is running. Shortly before the end of the grace period it answers those
+ * that are.
  */
 public final class GracefulShutdown {
 
@@ -19,8 +21,11 @@
 
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
+  /** Margin before the end of the grace period, at which running requests are answered. */
+  private static final Duration END_MARGIN = Duration.ofMillis(400);
+
   /** Margin before the end of the grace period, so that the process exits before it is killed. */
-  private static final Duration EXIT_MARGIN = Duration.ofMillis(400);
+  private static final Duration EXIT_MARGIN = Duration.ofMillis(200);
 
   private final EventLoop loop;
   private final RelayServer server;
@@ -54,17 +59,21 @@
     }
     startedAt = state.now();
     state.markStopping();
+    server.announceShutdown(new ShutdownAdmission(startedAt.plus(gracePeriod.minus(END_MARGIN))));
     state.log().info("node_stopping", event -> event.with("running", server.runningRequests()));
     PeriodicTask.schedule(loop, CHECK_INTERVAL, state.log(), this::check);
   }
 
   private void check() {
     Duration elapsed = Duration.between(startedAt, state.now());
-    if (elapsed.compareTo(LOAD_BALANCER_DELAY) < 0) {
+    final boolean isGraceOver = elapsed.compareTo(gracePeriod.minus(END_MARGIN)) >= 0;
+    if (elapsed.compareTo(LOAD_BALANCER_DELAY) < 0 && !isGraceOver) {
       return;
     }
-    // A later request might not finish in time, so its caller is told to try another node.
     server.refuseNewRequests();
+    if (isGraceOver) {
+      server.endRequests();
+    }
     server.closeIdleConnections();
     boolean isTimeUp = elapsed.compareTo(gracePeriod.minus(EXIT_MARGIN)) >= 0;
     if (!server.isBusy() || isTimeUp) {
@@ -72,7 +81,7 @@
           .log()
           .info(
               "node_stopped",
-              event -> event.with("running", server.runningRequests()).with("clean", !isTimeUp));
+              event -> event.with("running", server.runningRequests()).with("clean", !isGraceOver));
       exit.run();
     }
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -24,7 +24,9 @@
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.RelayConfiguration;
 import org.dragonflyhill.core.relay.RelayMemory;
+import org.dragonflyhill.core.relay.Route;
 import org.dragonflyhill.core.relay.Runner;
+import org.dragonflyhill.core.relay.ShutdownAdmission;
 import org.dragonflyhill.core.relay.SlowReaders;
 
 /** HTTP server that accepts callers' connections and tracks the requests in progress. */
@@ -62,6 +64,8 @@
   private final RequestQueue queue = new RequestQueue();
   private final Channel serverChannel;
   private Optional<Channel> peerChannel = Optional.empty();
+  private final RouteDurations routeDurations = new RouteDurations();
+  private Optional<ShutdownAdmission> shutdown = Optional.empty();
   private boolean isRefusingRequests;
 
   /** Binds the address and starts to accept connections. */
@@ -311,6 +315,28 @@
     stopAccepting();
   }
 
+  /** Accepts only requests that end before the node exits from now on. */
+  void announceShutdown(ShutdownAdmission admission) {
+    shutdown = Optional.of(admission);
+  }
+
+  /** Returns whether a new request will have ended when this node exits, if it shuts down. */
+  boolean mayFinish(Route route, Instant deadline) {
+    return shutdown
+        .map(known -> known.mayAccept(deadline, routeDurations.usual(route), state.now()))
+        .orElse(true);
+  }
+
+  /** Returns how long requests take. */
+  RouteDurations routeDurations() {
+    return routeDurations;
+  }
+
+  /** Answers the requests in progress, since the node is about to exit. */
+  void endRequests() {
+    List.copyOf(activeRequests).forEach(RelayedRequest::endForShutdown);
+  }
+
   boolean isRefusingRequests() {
     return isRefusingRequests;
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -228,6 +228,10 @@
             requestHeaders.prompt().map(Prompt::sharedPartKeys).orElse(List.of()));
     Instant routeDeadline = arrival.readAt().plus(route.timeout());
     deadline = callerDeadline.isBefore(routeDeadline) ? callerDeadline : routeDeadline;
+    if (!server.mayFinish(route, deadline)) {
+      refuseUnavailable("stopping", "the node may exit before the end", STOPPING_RETRY_AFTER);
+      return;
+    }
     if (route.kind() == Route.Kind.STREAM && route.isResumable()) {
       startStream();
     } else {
@@ -1033,12 +1037,29 @@
     return isEventStream && route.isResumable();
   }
 
+  /** Ends the request at once, with an answer that tells whether it may have run. */
+  void endForShutdown() {
+    mayHaveRun |= isSent();
+    fail("stopped", "the node exits", STOPPING_RETRY_AFTER);
+  }
+
+  private boolean isSent() {
+    return currentAttempt.filter(current -> current.connection.isPresent()).isPresent()
+        || forwardedRequest.filter(ForwardedRequest::isSent).isPresent();
+  }
+
+  private void recordDuration() {
+    Duration duration = Duration.between(arrival.readAt(), state.now());
+    server.routeDurations().record(route, duration);
+    state.metrics().timer("relay." + route.kind().name().toLowerCase(Locale.ROOT)).update(duration);
+  }
+
   private void onTimeout() {
-    boolean isSent =
-        currentAttempt.filter(current -> current.connection.isPresent()).isPresent()
-            || forwardedRequest.filter(ForwardedRequest::isSent).isPresent();
     currentAttempt.ifPresent(current -> logAttempt("timed_out", current, "deadline exceeded"));
-    mayHaveRun |= isSent;
+    if (isSent()) {
+      mayHaveRun = true;
+      server.routeDurations().record(route, Duration.between(arrival.readAt(), state.now()));
+    }
     if (isResponseStarted) {
       abortResponse("timed_out");
     } else if (mayHaveRun) {
@@ -1313,10 +1334,7 @@
         recordSoundAnswer();
       }
       currentAttempt = Optional.empty();
-      state
-          .metrics()
-          .timer("relay." + route.kind().name().toLowerCase(Locale.ROOT))
-          .update(Duration.between(arrival.readAt(), state.now()));
+      recordDuration();
       finish();
       caller.completeResponse();
     }
