Count a response as a refusal only if it says that the request has not run

Callers would have seen: "not run, try again" for requests that had run (REFUSED), or a second run (TWICE). Found while trying another operator's report of repeated refusals, which itself is not reproduced.

Cause: a 408, 429 or 503 of a runner was passed on as it was, although only the field that says so makes it a proof.

Other 408, 429 and 503 are failures of the runner: sent elsewhere if that is allowed, otherwise 502 without the runner's signature.

The 32 cases of repeated refusals held before, and hold now; so do 4 behind a peer.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -1141,7 +1141,8 @@
         return;
       }
       mayHaveRun = true;
-      if (status >= 500) {
+      boolean isUnprovenPromise = NOT_RUN_STATUSES.contains(status);
+      if (status >= 500 || isUnprovenPromise) {
         runner.recordFailure(1, now);
         logAttempt("runner_failed", this, "status " + status);
         if (leaveToCopy() || resumeSilentAttempt()) {
@@ -1157,6 +1158,12 @@
         abandon("resume_refused");
         return;
       }
+      if (isUnprovenPromise) {
+        cancel();
+        currentAttempt = Optional.empty();
+        fail("runner_failed", "status " + status + " of the runner", RUNNER_FAILURE_RETRY_AFTER);
+        return;
+      }
       if (isHedged(this)) {
         resumeSilentAttempt();
       }
