Send requests without an id on connections of their own

Callers would have seen: a late refusal of an earlier request taken for theirs (REFUSED, TWICE), if neither request has an id.

Cause: a response without an id was taken for that of a request without one, also on a kept connection, where a late one may come.

Change: such a request gets a new connection.

Evidence: RepeatedRefusalTest.requestsWithoutIdUseConnectionsOfTheirOwn failed before, with one connection for three requests.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ForwardedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ForwardedRequest.java
@@ -30,7 +30,8 @@
     forwarder.targets().recordStarted(target.node());
     forwarder
         .connections()
-        .acquire(target.endpoint(), this::onConnected, error -> onNotConnected(error.toString()));
+        .acquire(
+            target.endpoint(), id, this::onConnected, error -> onNotConnected(error.toString()));
   }
 
   String peer() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -470,6 +470,7 @@
         .runnerConnections()
         .acquire(
             chosen.runner.info().endpoint(),
+            id(),
             connection -> runOrFail(() -> sendOrClose(chosen, connection)),
             error -> runOrFail(() -> onConnectFailed(chosen, error)));
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
@@ -92,12 +92,23 @@
   }
 
   /**
-   * Passes an idle or a new connection to a callback, or the error if none can be opened. The
+   * Passes a connection for a request to a callback, or the error if none can be opened. The
    * callback runs after this method has returned, and so after the events of all channels that were
    * found ready together: the end of a caller's connection may be among them.
+   *
+   * <p>The connection is an idle one or a new one. It is new if the request has no id, since a late
+   * response to an earlier request could not be told from its own.
    */
-  void acquire(Endpoint endpoint, Consumer<RunnerConnection> ready, Consumer<Throwable> failed) {
-    loop.execute(() -> acquireNow(endpoint, ready, failed));
+  void acquire(
+      Endpoint endpoint,
+      String requestId,
+      Consumer<RunnerConnection> ready,
+      Consumer<Throwable> failed) {
+    if (requestId.isEmpty()) {
+      loop.execute(() -> open(endpoint, ready, failed));
+    } else {
+      loop.execute(() -> acquireNow(endpoint, ready, failed));
+    }
   }
 
   private void acquireNow(
