--- a/core/src/main/java/org/dragonflyhill/core/relay/ShutdownAdmission.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/ShutdownAdmission.java
@@ -22,11 +22,6 @@
     this.endsAt = endsAt;
   }
 
-  /** Returns when the node ends the requests that are still running. */
-  public Instant endsAt() {
-    return endsAt;
-  }
-
   /**
    * Returns whether a request will have ended in time.
    *
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -229,7 +229,8 @@
     Instant routeDeadline = arrival.readAt().plus(route.timeout());
     deadline = callerDeadline.isBefore(routeDeadline) ? callerDeadline : routeDeadline;
     if (!server.mayFinish(route, deadline)) {
-      refuseUnavailable("stopping", "the node may exit before the end", STOPPING_RETRY_AFTER);
+      refuseUnavailable(
+          "stopping", "the node may exit before the request ends", STOPPING_RETRY_AFTER);
       return;
     }
     if (route.kind() == Route.Kind.STREAM && route.isResumable()) {
@@ -1041,7 +1042,7 @@
   /** Ends the request at once, with an answer that tells whether it may have run. */
   void endForShutdown() {
     mayHaveRun |= isSent();
-    fail("stopped", "the node exits", STOPPING_RETRY_AFTER);
+    fail("stopped", "the node exits before the answer", STOPPING_RETRY_AFTER);
   }
 
   private boolean isSent() {
@@ -1142,6 +1143,7 @@
         return;
       }
       mayHaveRun = true;
+      // Passed on, the status would promise that the request has not run, which nothing shows.
       boolean isUnprovenPromise = NOT_RUN_STATUSES.contains(status);
       if (status >= 500 || isUnprovenPromise) {
         runner.recordFailure(1, now);
