Handle requests that were sent ahead in the order in which they came

Cause: between the end of a response and the task that handles the queue of its connection, what was read was handled at once, ahead of the queue.

Ruled out: the decoder. It passes on whole messages in order; the queue was right as well.

Change: what is read is queued for as long as the queue is not empty, and a connection with a queue counts as busy.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -117,7 +117,8 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (activeRequest.isPresent() || waitingBody.isPresent()) {
+    // What was queued comes first, also while the task that will handle it has not run yet.
+    if (activeRequest.isPresent() || waitingBody.isPresent() || !queuedMessages.isEmpty()) {
       queuedMessages.add(httpObject);
       queuedBytes.add(contentBytes(httpObject));
       if (queuedMessages.size() > MAX_QUEUED_MESSAGES || server.memory().isUsedUp()) {
@@ -465,6 +466,7 @@
   /** Returns whether it carries a request, active or partly received, or the end of a response. */
   boolean isBusy() {
     return activeRequest.isPresent()
+        || !queuedMessages.isEmpty()
         || hasRequestStarted
         || pendingRequest.isPresent()
         || untaken.count() > 0;
