Count the time of a request that was sent ahead from its own arrival

Callers would have seen: a request that is given up, or answered 408, before its time is over, if it was sent while another one ran.

Cause: a queued request took the arrival of the request before it, and the limit on the time for sending it as well.

Change: each queued message carries when it was read. The limit starts when its request is taken from the queue.

Evidence: PipeliningTest.timeOfQueuedRequestRunsFromItsOwnArrival saw 500 ms left instead of 2,500 before, and passes now, with RelayTest, SharedMemoryTest and LateEventLoopTest.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -47,7 +47,7 @@
   private final RelayServer server;
   private final Channel channel;
   private final boolean isPeer;
-  private final Deque<HttpObject> queuedMessages = new ArrayDeque<>();
+  private final Deque<Queued> queuedMessages = new ArrayDeque<>();
   private Optional<HttpRequest> pendingRequest = Optional.empty();
   private final ByteBudget.Share queuedBytes;
   private final BodyBuffer body;
@@ -119,7 +119,7 @@
     }
     // What was queued comes first, also while the task that will handle it has not run yet.
     if (activeRequest.isPresent() || waitingBody.isPresent() || !queuedMessages.isEmpty()) {
-      queuedMessages.add(httpObject);
+      queuedMessages.add(new Queued(httpObject, server.arrival(server.state().now())));
       queuedBytes.add(contentBytes(httpObject));
       if (queuedMessages.size() > MAX_QUEUED_MESSAGES || server.memory().isUsedUp()) {
         channel.config().setAutoRead(false);
@@ -385,13 +385,18 @@
 
   private void processQueued() {
     while (activeRequest.isEmpty() && waitingBody.isEmpty() && !queuedMessages.isEmpty()) {
-      HttpObject httpObject = queuedMessages.poll();
-      queuedBytes.remove(contentBytes(httpObject));
+      Queued queued = queuedMessages.poll();
+      queuedBytes.remove(contentBytes(queued.message()));
       if (isClosing) {
-        ReferenceCountUtil.release(httpObject);
-      } else {
-        process(httpObject);
+        ReferenceCountUtil.release(queued.message());
+        continue;
       }
+      if (queued.message() instanceof HttpRequest) {
+        requestArrival = queued.arrival();
+        // The caller could not send the rest while the node handled the request before.
+        receivingSince = server.state().now();
+      }
+      process(queued.message());
     }
     if (waitingBody.isEmpty()) {
       channel.config().setAutoRead(true);
@@ -493,7 +498,7 @@
     isClosing = true;
     activeRequest.ifPresent(RelayedRequest::onCallerDisconnected);
     activeRequest = Optional.empty();
-    queuedMessages.forEach(ReferenceCountUtil::release);
+    queuedMessages.forEach(queued -> ReferenceCountUtil.release(queued.message()));
     queuedMessages.clear();
     queuedBytes.release();
     waitingBody.ifPresent(server.bodies()::remove);
@@ -512,6 +517,14 @@
     channel.close();
   }
 
+  /**
+   * What was read while an earlier request was in progress.
+   *
+   * @param message head, or a part of the body, of a request
+   * @param arrival when it was read
+   */
+  private record Queued(HttpObject message, Arrival arrival) {}
+
   /** The body of the pending request, which this connection is about to receive. */
   private final class IncomingBody implements BodyAdmission.Body {
 
