Derive the salt of a request once for each weight version

Encoding and checking names for each candidate runner cost processor time; most runners have the same version.

Result: the tests of salts, names and the relay pass. The cost was not measured alone.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -19,9 +19,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -594,10 +596,12 @@
     Service.Engine engine = pool.engine().get();
     List<Prompt.Part> shared = prompt.sharedParts();
     String affinity = shared.isEmpty() ? id() : shared.get(shared.size() - 1).id();
+    // Most candidates have the same version.
+    Map<Long, String> salts = new HashMap<>();
     var selectionRequest =
         new RunnerSelector.Request(
             prompt,
-            version -> salt(prompt.model(), version),
+            version -> salts.computeIfAbsent(version, any -> salt(prompt.model(), version)),
             affinity,
             engine.bytesPerToken(),
             engine.memoryTokens(),
