--- a/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/EventStream.java
@@ -59,8 +59,11 @@
   }
 
   private void clearPending() {
-    // A stream that has had a long event must not keep the array that held it.
-    pending = new ByteArrayOutputStream();
+    if (pending.size() > MAX_SMALL_EVENT_BYTES) {
+      // The stream must not keep the array of a long event.
+      pending = new ByteArrayOutputStream();
+    }
+    pending.reset();
     buffered.release();
     isBudgetKept = true;
   }
