Log who named a weight version and which requests begin on replaced weights

From the log lines it could not be told whether a node knew of the newer version too late, sent requests that then waited too long, or sent requests that name no version. Nor did a line say why a runner that is behind has no order.

Each announcement and each change at a runner is logged with its source. A request that begins on replaced weights is logged with the version expected, the one answered, the newest, the age of its announcement and the time of sending; a counter tells those after the limit apart. Once a second a node logs which runners are behind and what it does about it. No decision changes.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -304,7 +304,7 @@
         changing,
         draining,
         weights,
-        state.announcedWeights().recent(MAX_ANNOUNCEMENT_AGE, now),
+        state.weights().announced().recent(MAX_ANNOUNCEMENT_AGE, now),
         assignment.recentReads(now),
         state.partChanges().nextSequence(),
         state.sharedTopics().progress(now),
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -19,7 +19,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
-import org.dragonflyhill.core.relay.AnnouncedWeights;
 import org.dragonflyhill.core.relay.CacheSalt;
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
@@ -78,8 +77,7 @@
   private final RunnerSelector runnerSelector;
   private final FirstTokenErrors firstTokenErrors;
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
-  private final AnnouncedWeights announcedWeights = new AnnouncedWeights();
-  private final WeightsDeadline weightsDeadline;
+  private final WeightsTracker weights;
   private final CrashSuspects crashSuspects = new CrashSuspects();
   private final StreamOriginDirectory streamOrigins;
   private final Map<String, ServiceReach> reachByService = new HashMap<>();
@@ -120,11 +118,11 @@
     this.log = log;
     this.metrics = metrics;
     this.retryLimits = retryLimits;
-    this.weightsDeadline = weightsDeadline;
+    weights = new WeightsTracker(weightsDeadline, clock, log, metrics);
     streamOrigins = new StreamOriginDirectory(clock, metrics);
     coldRunners = new ColdRunners(node, runners, this::coldStart, clock, log, metrics);
     firstTokenErrors = new FirstTokenErrors(metrics);
-    runnerSelector = new RunnerSelector(parts, peers, announcedWeights, weightsDeadline, zone);
+    runnerSelector = new RunnerSelector(parts, peers, weights.announced(), weightsDeadline, zone);
   }
 
   /** Returns the current time of the node's monotonic clock. */
@@ -230,13 +228,14 @@
             (id, version) ->
                 runners
                     .find(id)
-                    .ifPresent(runner -> runner.observeSingleModelWeightVersion(version)));
+                    .ifPresent(runner -> weights.observeReported(runner, version, report.node())));
     report
         .announcedWeights()
         .forEach(
             (model, versions) ->
                 versions.forEach(
-                    (version, age) -> announcedWeights.announce(model, version, now().minus(age))));
+                    (version, age) ->
+                        weights.announceReported(model, version, age, report.node())));
     report.runnerClockMillis().ifPresent(this::recordRunnerClock);
     // The ages in a report that was overtaken by a newer one would make what it says seem recent.
     if (isNewest) {
@@ -441,7 +440,7 @@
    */
   private boolean isReplaced(String salt, WeightsInUse inUse) {
     boolean isOfKnownModel = false;
-    for (String model : announcedWeights.newest().keySet()) {
+    for (String model : weights.announced().newest().keySet()) {
       OptionalLong version = CacheSalt.weightVersion(salt, model);
       if (version.isPresent()) {
         isOfKnownModel = true;
@@ -488,34 +487,9 @@
         event -> event.with("version", newer.version()).with("before", known));
   }
 
-  /** Records that the operator announced a weight version of a model. */
-  public void announceWeights(String model, long version) {
-    long known = announcedWeights.newest(model);
-    if (announcedWeights.announce(model, version, now())) {
-      log.info(
-          "weights_named",
-          event -> event.with("model", model).with("version", version).with("before", known));
-    }
-  }
-
-  /**
-   * Records the weight version that an answer names. Nothing is recorded for a model that neither
-   * the operator nor the runner's entry names, since nothing would tell when its weights change.
-   */
-  void recordWeightVersion(Runner runner, String model, long version) {
-    if (runner.info().weightVersions().containsKey(model) || announcedWeights.newest(model) > 0) {
-      runner.observeWeightVersion(model, version);
-    }
-  }
-
-  /** Returns the announced weight versions. */
-  public AnnouncedWeights announcedWeights() {
-    return announcedWeights;
-  }
-
-  /** Returns when requests must no longer begin on replaced weights. */
-  public WeightsDeadline weightsDeadline() {
-    return weightsDeadline;
+  /** Returns the announced weight versions and those of the runners. */
+  public WeightsTracker weights() {
+    return weights;
   }
 
   /**
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -1132,7 +1132,8 @@
               prompt ->
                   responseHeaders
                       .weightVersion()
-                      .ifPresent(v -> state.recordWeightVersion(runner, prompt.model(), v)));
+                      .ifPresent(
+                          v -> state.weights().observeInAnswer(runner, prompt.model(), v, id())));
       int status = response.status().code();
       // With 421 another runner answers, at the address of the one that was expected.
       if (responseHeaders.isDraining() && status != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
@@ -1147,6 +1148,13 @@
         return;
       }
       mayHaveRun = true;
+      requestHeaders
+          .prompt()
+          .ifPresent(
+              prompt ->
+                  state
+                      .weights()
+                      .logBegun(this, prompt.model(), responseHeaders.weightVersion(), id()));
       // Passed on, the status would promise that the request has not run, which nothing shows.
       boolean isUnprovenPromise = NOT_RUN_STATUSES.contains(status);
       if (status >= 500 || isUnprovenPromise) {
@@ -1232,8 +1240,9 @@
       String model = requestHeaders.prompt().get().model();
       // The runner has changed its weights at least once. If the newest version were assumed, the
       // rollout would skip a runner that may still be behind.
-      long newest = state.announcedWeights().newest(model);
-      runner.observeWeightVersion(model, Math.min(newest, selection.weightVersion() + 1));
+      long newest = state.weights().announced().newest(model);
+      long next = Math.min(newest, selection.weightVersion() + 1);
+      state.weights().observe(runner, model, next, "status 421 of request " + id());
       triedRunners.remove(runner.id());
     }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
@@ -106,6 +106,11 @@
         : Duration.ofNanos((long) (selection.firstTokenSeconds() * 1e9));
   }
 
+  /** Returns the weight version that the request names, {@link Runner#UNKNOWN_WEIGHTS} for none. */
+  long expectedWeights() {
+    return selection == null ? Runner.UNKNOWN_WEIGHTS : selection.weightVersion();
+  }
+
   long prefillTokens() {
     return selection == null ? 0 : selection.prefillTokens();
   }
@@ -161,10 +166,12 @@
         && connection.isPresent()
         && !hasResponse
         && state
-            .weightsDeadline()
+            .weights()
+            .deadline()
             .mustCancel(
                 state
-                    .announcedWeights()
+                    .weights()
+                    .announced()
                     .replacedAt(prompt.get().model(), selection.weightVersion()),
                 now);
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -43,6 +43,9 @@
    */
   private static final long SUSPENSION_THRESHOLD_NANOS = Duration.ofMillis(300).toNanos();
 
+  /** Interval between log lines while runners are behind. */
+  private static final Duration STATUS_INTERVAL = Duration.ofSeconds(1);
+
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
   /** Maximum number of parts that one request frees. */
@@ -63,6 +66,7 @@
   private Instant outdatedSince = Instant.MAX;
   private Duration takeoverDelay = Duration.ZERO;
   private Instant lastSweepAt = Instant.MIN;
+  private Instant lastStatusAt = Instant.MIN;
   private long clockOffsetNanos;
 
   /**
@@ -120,7 +124,7 @@
     final List<WeightsRollout.OutdatedRunner> outdated =
         WeightsRollout.outdatedRunners(
             state.runners().all(),
-            state.announcedWeights(),
+            state.weights().announced(),
             runner -> runner.running() + state.peers().running(runner.id(), now));
     state.setNeedsOwnReads(lease.lastHolder().filter(holder::equals).isPresent());
     // A draining runner gets no orders, but its running requests may still read old parts.
@@ -136,11 +140,38 @@
       }
       rollOut(outdated, now);
     }
+    logStatus(outdated, now);
     for (Runner runner : state.runners().all()) {
       runner.setChangingWeights(rollout.changingRunners().contains(runner.id()));
     }
   }
 
+  /** Logs which runners are behind and why this node gives them no orders, if it does not. */
+  private void logStatus(List<WeightsRollout.OutdatedRunner> outdated, Instant now) {
+    if (outdated.isEmpty() || Duration.between(lastStatusAt, now).compareTo(STATUS_INTERVAL) < 0) {
+      return;
+    }
+    lastStatusAt = now;
+    String role =
+        state.isStopping()
+            ? "stopping"
+            : isOutOfReach(outdated)
+                ? "out of reach"
+                : lease.held(now).isPresent() ? "gives orders" : "waits";
+    Duration age = Duration.between(outdated.get(0).replacedAt(), now);
+    state
+        .log()
+        .info(
+            "weights_behind",
+            event ->
+                event
+                    .with("runners", outdated.stream().map(each -> each.runner().id()).toList())
+                    .with("changing", rollout.changingRunners())
+                    .with("longest_ms", age.toMillis())
+                    .with("role", role)
+                    .with("holder", lease.lastHolder().orElse("")));
+  }
+
   /** Returns whether orders to some of the runners would not arrive, but another node's may. */
   private boolean isOutOfReach(List<WeightsRollout.OutdatedRunner> outdated) {
     return outdated.stream().anyMatch(each -> state.isOutOfReach(each.runner().info().service()));
@@ -325,7 +356,7 @@
       WeightsRollout.OutdatedRunner entry, long revision, LeaderLease.Held held) {
     Runner runner = entry.runner();
     RunnerOrders.SwitchMode mode =
-        state.weightsDeadline().isChangeUrgent(entry.replacedAt(), state.now())
+        state.weights().deadline().isChangeUrgent(entry.replacedAt(), state.now())
             ? RunnerOrders.SwitchMode.IMMEDIATE
             : RunnerOrders.SwitchMode.AFTER_RUNNING;
     state
@@ -370,7 +401,8 @@
     }
     switch (result.get()) {
       case BUSY -> rollout.orderUnanswered(runner.id());
-      case ALREADY_APPLIED -> runner.observeWeightVersion(entry.model(), entry.version());
+      case ALREADY_APPLIED ->
+          state.weights().observe(runner, entry.model(), entry.version(), "order");
       case REJECTED -> rollout.orderRejected(runner.id());
       case FENCED -> {
         state.log().info("duty_fenced", event -> event.with("runner", runner.id()));
@@ -395,16 +427,6 @@
   }
 
   private void onWeightsReported(Runner runner, Map<String, Long> weights) {
-    weights.forEach(
-        (model, version) -> {
-          if (version > runner.weightVersion(model)) {
-            state
-                .log()
-                .info(
-                    "weights_changed",
-                    event -> event.with("runner", runner.id()).with("version", version));
-          }
-          runner.observeWeightVersion(model, version);
-        });
+    weights.forEach((model, version) -> state.weights().observe(runner, model, version, "report"));
   }
 }
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -115,7 +115,7 @@
                   new WeightsInUse(state.now().minus(WeightsInUse.MAX_UNLISTED_LIFETIME)),
                   System::currentTimeMillis)
               .start();
-          state.announceWeights("m", 2);
+          state.weights().announce("m", 2);
           return null;
         });
   }
@@ -250,7 +250,7 @@
     onLoop(
         () -> {
           log.restoreEmpty();
-          state.announceWeights("m", 3);
+          state.weights().announce("m", 3);
           return null;
         });
     await().atMost(Duration.ofSeconds(12)).until(() -> orders.tokens.size() > before.size());
