--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -177,6 +178,53 @@
     assertTrue(table.all().stream().allMatch(runner -> runner.weightVersion("m") == 3));
   }
 
+  /**
+   * Guards against a rollout that stops for good: three listed runners do not answer orders, and as
+   * the least loaded ones they were ordered again and again while five others kept old weights.
+   */
+  @Test
+  public void runnersThatDoNotAnswerDoNotStopTheOthers() {
+    final Set<String> silent = Set.of("r1", "r2", "r3");
+    final WeightsDeadline deadline = new WeightsDeadline(Duration.ofSeconds(6));
+    for (int i = 6; i <= 8; i++) {
+      table.put(info(i, false, 1), NOW);
+    }
+    table.all().stream()
+        .filter(runner -> !silent.contains(runner.id()))
+        .forEach(runner -> runner.requestSent(1, 10, 10, NOW));
+    Map<Runner, Instant> completeAt = new HashMap<>();
+    Map<String, Instant> lostAt = new HashMap<>();
+    WeightsRollout rollout = new WeightsRollout();
+    for (int millis = 0; millis <= 6_000; millis += 100) {
+      Instant now = NOW.plusMillis(millis);
+      completeAt.forEach(
+          (runner, at) -> {
+            if (!now.isBefore(at)) {
+              runner.observeWeightVersion("m", 2);
+            }
+          });
+      lostAt.entrySet().stream()
+          .filter(entry -> entry.getValue().equals(now))
+          .forEach(entry -> rollout.orderUnanswered(entry.getKey()));
+      for (WeightsRollout.OutdatedRunner entry :
+          rollout.nextOrders(
+              WeightsRollout.outdatedRunners(table.all(), announced, Runner::running), 8, now)) {
+        if (silent.contains(entry.runner().id())) {
+          lostAt.put(entry.runner().id(), now.plusMillis(800));
+        } else {
+          completeAt.put(entry.runner(), now.plusMillis(800));
+        }
+      }
+      for (Runner runner : table.all()) {
+        boolean isLate =
+            !deadline.maySend(announced.replacedAt("m", runner.weightVersion("m")), 0, now);
+        assertFalse(
+            isLate && !silent.contains(runner.id()),
+            runner.id() + " has old weights after " + millis + " ms");
+      }
+    }
+  }
+
   /** Draining runners get no orders. */
   @Test
   public void skipsDrainingRunners() {
