Order runners that no order reaches after all others

Cause: at most three runners change at a time in a small service, those first that were replaced first and run least. A runner that is listed but silent runs nothing. Its order gave its place back after a second and took it again in the same step, so three such runners kept five sound ones from changing for as long as they were listed. Class of fault: head-of-line blocking by work that fails.

A runner whose report does not come, to which no connection opens, or whose orders stayed unanswered three times in a row, is ordered after all others until it answers an order.

RolloutTest.runnersThatDoNotAnswerDoNotStopTheOthers failed before (r4 on old weights after 5.2 s) and passes, also with runners that answer queries only.

--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -14,7 +14,8 @@
 
 /**
  * Decides which runners change their weights next: a few at a time, first those whose weights were
- * replaced first, and among these the least loaded.
+ * replaced first, and among these the least loaded. Runners that orders do not reach come after all
+ * others, since they would take up the places of runners that do change.
  *
  * <p>Not thread-safe; no argument may be null.
  */
@@ -38,8 +39,17 @@
   /** Time after which an order whose answer was lost is given again. */
   public static final Duration UNANSWERED_ORDER_TIMEOUT = Duration.ofMillis(1_000);
 
+  /**
+   * Number of orders in a row without an answer from which they are assumed not to reach the
+   * runner. A single answer may be lost on the way.
+   */
+  public static final int MAX_UNANSWERED_ORDERS = 3;
+
   private final Map<String, Change> changes = new HashMap<>();
 
+  /** Number of orders in a row without an answer, by runner. */
+  private final Map<String, Integer> unanswered = new HashMap<>();
+
   /**
    * Returns the available runners whose weights have been replaced, in the order in which they
    * should change.
@@ -71,7 +81,8 @@
   /**
    * Returns the orders to give now and records them as given.
    *
-   * @param outdated the runners that are behind, in the order in which they should change
+   * @param outdated the runners that are behind, in the order in which they should change if all
+   *     are reached
    * @param runners number of runners that share the weights
    * @param now present time
    */
@@ -79,7 +90,9 @@
     removeFinished(outdated, now);
     int limit = Math.max(MIN_CONCURRENT_CHANGES, (int) (runners * CONCURRENT_SHARE));
     List<OutdatedRunner> orders = new ArrayList<>();
-    for (OutdatedRunner entry : outdated) {
+    List<OutdatedRunner> reachedFirst = new ArrayList<>(outdated);
+    reachedFirst.sort(Comparator.comparing(entry -> isUnreached(entry.runner().id())));
+    for (OutdatedRunner entry : reachedFirst) {
       if (changes.size() >= limit) {
         break;
       }
@@ -98,6 +111,7 @@
   private void removeFinished(List<OutdatedRunner> outdated, Instant now) {
     Set<String> outdatedIds = new HashSet<>();
     outdated.forEach(entry -> outdatedIds.add(entry.runner().id()));
+    unanswered.keySet().retainAll(outdatedIds);
     changes
         .values()
         .removeIf(
@@ -109,11 +123,37 @@
 
   /** Records that a runner's answer to its order was lost, so that the order is repeated soon. */
   public void orderUnanswered(String runner) {
+    unanswered.merge(runner, 1, Integer::sum);
+    repeatSoon(runner);
+  }
+
+  /** Records that no order reaches a runner, for example because it sends nothing. */
+  public void orderNotDelivered(String runner) {
+    unanswered.put(runner, MAX_UNANSWERED_ORDERS);
+    repeatSoon(runner);
+  }
+
+  /** Records that a runner is carrying out another order, so that this one is repeated soon. */
+  public void orderPostponed(String runner) {
+    repeatSoon(runner);
+  }
+
+  private void repeatSoon(String runner) {
     changes.computeIfPresent(
         runner,
         (id, change) -> new Change(change.order(), change.orderedAt(), UNANSWERED_ORDER_TIMEOUT));
   }
 
+  /** Records that a runner has answered an order. */
+  public void orderAnswered(String runner) {
+    unanswered.remove(runner);
+  }
+
+  /** Returns whether the last orders to a runner did not reach it. */
+  public boolean isUnreached(String runner) {
+    return unanswered.getOrDefault(runner, 0) >= MAX_UNANSWERED_ORDERS;
+  }
+
   /** Removes the order of a runner that has rejected it. */
   public void orderRejected(String runner) {
     changes.remove(runner);
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Order of weight changes, and the runner table. */
@@ -89,6 +90,35 @@
     assertEquals(next(rollout, later), List.of("r2"));
   }
 
+  /** A runner that orders do not reach waits until the others have changed. */
+  @Test
+  public void unreachedRunnerWaitsForTheOthers() {
+    WeightsRollout rollout = new WeightsRollout();
+    next(rollout, NOW);
+    rollout.orderNotDelivered("r2");
+    Instant later = NOW.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
+    assertEquals(next(rollout, later), List.of("r4"));
+    table.find("r1").orElseThrow().observeWeightVersion("m", 2);
+    table.find("r3").orElseThrow().observeWeightVersion("m", 2);
+    assertEquals(next(rollout, later.plusMillis(100)), List.of("r5", "r2"));
+  }
+
+  /** A runner that answers none of its orders counts as unreached until it answers one. */
+  @Test
+  public void runnerWithoutAnyAnswerIsUnreached() {
+    WeightsRollout rollout = new WeightsRollout();
+    Instant now = NOW;
+    for (int i = 0; i < WeightsRollout.MAX_UNANSWERED_ORDERS; i++) {
+      assertFalse(rollout.isUnreached("r1"));
+      assertTrue(next(rollout, now).contains("r1"));
+      rollout.orderUnanswered("r1");
+      now = now.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
+    }
+    assertTrue(rollout.isUnreached("r1"));
+    rollout.orderAnswered("r1");
+    assertFalse(rollout.isUnreached("r1"));
+  }
+
   /** In a large service, the number of concurrent changes grows with the runners. */
   @Test
   public void changesMoreAtOnceInLargeServices() {
@@ -178,12 +208,18 @@
     assertTrue(table.all().stream().allMatch(runner -> runner.weightVersion("m") == 3));
   }
 
+  /** Returns whether runners that do not answer orders answer the queries before them. */
+  @DataProvider
+  public static Object[][] areQueriesAnswered() {
+    return new Object[][] {{true}, {false}};
+  }
+
   /**
    * Guards against a rollout that stops for good: three listed runners do not answer orders, and as
    * the least loaded ones they were ordered again and again while five others kept old weights.
    */
-  @Test
-  public void runnersThatDoNotAnswerDoNotStopTheOthers() {
+  @Test(dataProvider = "areQueriesAnswered")
+  public void runnersThatDoNotAnswerDoNotStopTheOthers(boolean areQueriesAnswered) {
     final Set<String> silent = Set.of("r1", "r2", "r3");
     final WeightsDeadline deadline = new WeightsDeadline(Duration.ofSeconds(6));
     for (int i = 6; i <= 8; i++) {
@@ -205,7 +241,8 @@
           });
       lostAt.entrySet().stream()
           .filter(entry -> entry.getValue().equals(now))
-          .forEach(entry -> rollout.orderUnanswered(entry.getKey()));
+          .map(Map.Entry::getKey)
+          .forEach(areQueriesAnswered ? rollout::orderUnanswered : rollout::orderNotDelivered);
       for (WeightsRollout.OutdatedRunner entry :
           rollout.nextOrders(
               WeightsRollout.outdatedRunners(table.all(), announced, Runner::running), 8, now)) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerOrders.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerOrders.java
@@ -64,8 +64,10 @@
     IMMEDIATE
   }
 
-  /** A runner's response to an order. */
+  /** What became of an order. */
   enum Outcome {
+    /** No connection to the runner could be opened, so it has not received the order. */
+    NOT_DELIVERED,
     /** The runner carries the order out. */
     ACCEPTED,
     /** The runner already has the weight version. */
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -340,7 +340,8 @@
         runner.info(),
         result -> {
           if (result.isLeft()) {
-            onOrderLost(entry, result.getLeft());
+            rollout.orderNotDelivered(runner.id());
+            logUnanswered(runner, result.getLeft());
             return;
           }
           onWeightsReported(runner, result.get().versions());
@@ -383,24 +384,28 @@
         result -> onOrderResult(entry, result));
   }
 
-  private void onOrderLost(WeightsRollout.OutdatedRunner entry, String error) {
-    rollout.orderUnanswered(entry.runner().id());
+  private void logUnanswered(Runner runner, String error) {
     state
         .log()
-        .info(
-            "order_unanswered",
-            event -> event.with("runner", entry.runner().id()).with("error", error));
+        .info("order_unanswered", event -> event.with("runner", runner.id()).with("error", error));
   }
 
   private void onOrderResult(
       WeightsRollout.OutdatedRunner entry, Either<String, RunnerOrders.Outcome> result) {
     Runner runner = entry.runner();
     if (result.isLeft()) {
-      onOrderLost(entry, result.getLeft());
+      rollout.orderUnanswered(runner.id());
+      logUnanswered(runner, result.getLeft());
+      return;
+    }
+    if (result.get() == RunnerOrders.Outcome.NOT_DELIVERED) {
+      rollout.orderNotDelivered(runner.id());
+      logUnanswered(runner, "no connection for an order");
       return;
     }
+    rollout.orderAnswered(runner.id());
     switch (result.get()) {
-      case BUSY -> rollout.orderUnanswered(runner.id());
+      case BUSY -> rollout.orderPostponed(runner.id());
       case ALREADY_APPLIED ->
           state.weights().observe(runner, entry.model(), entry.version(), "order");
       case REJECTED -> rollout.orderRejected(runner.id());
