Count the limit of replaced weights from a time before their announcement

Peers report their ages, which helps unless all are late at once, as after silent connections or a restart of all nodes. Class of fault: the time of learning taken for that of the event.

A node now counts from the read before, which did not have the announcement yet. After a start or an outage it counts from as early as can matter: the platform does not hold a node to the limit in the stability window after it. Such an assumed time is not reported to peers, and a reported one replaces it, so that the restart of one node does not shorten the limit for all.

--- a/core/src/main/java/org/dragonflyhill/core/relay/AnnouncedWeights.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/AnnouncedWeights.java
@@ -8,8 +8,9 @@
 import java.util.TreeMap;
 
 /**
- * The weight versions that the operator has announced, with the time at which this node or, before
- * that, one of its peers learned of each.
+ * The weight versions that the operator has announced, each with a time that is not later than its
+ * announcement. A node that found a version in the log at its start assumes this time, until a peer
+ * that was there reports it.
  *
  * <p>Not thread-safe; no argument may be null.
  */
@@ -18,7 +19,7 @@
   /** Number of versions of a model that are remembered; older ones are no longer in use. */
   private static final int MAX_VERSIONS = 16;
 
-  private final Map<String, TreeMap<Long, Instant>> announcedAt = new HashMap<>();
+  private final Map<String, TreeMap<Long, Announcement>> announcements = new HashMap<>();
 
   /**
    * Records an announced version.
@@ -29,9 +30,26 @@
    * @return whether the version is newer than all that were known
    */
   public boolean announce(String model, long version, Instant at) {
-    TreeMap<Long, Instant> versions = announcedAt.computeIfAbsent(model, any -> new TreeMap<>());
+    return record(model, version, new Announcement(at, false));
+  }
+
+  /**
+   * Records a version that was announced at an unknown time.
+   *
+   * @param model name of the model
+   * @param version weight version
+   * @param at assumed time of the announcement; any known time replaces it
+   * @return whether the version is newer than all that were known
+   */
+  public boolean assume(String model, long version, Instant at) {
+    return record(model, version, new Announcement(at, true));
+  }
+
+  private boolean record(String model, long version, Announcement announcement) {
+    TreeMap<Long, Announcement> versions =
+        announcements.computeIfAbsent(model, any -> new TreeMap<>());
     boolean isNewest = versions.isEmpty() || version > versions.lastKey();
-    versions.merge(version, at, (known, other) -> other.isBefore(known) ? other : known);
+    versions.merge(version, announcement, Announcement::moreCertain);
     if (versions.size() > MAX_VERSIONS) {
       versions.pollFirstEntry();
     }
@@ -40,14 +58,14 @@
 
   /** Returns the newest version of a model, 0 if none is known. */
   public long newest(String model) {
-    TreeMap<Long, Instant> versions = announcedAt.get(model);
+    TreeMap<Long, Announcement> versions = announcements.get(model);
     return versions == null ? 0 : versions.lastKey();
   }
 
   /** Returns the newest version of each model. */
   public Map<String, Long> newest() {
     Map<String, Long> newest = new HashMap<>();
-    announcedAt.forEach((model, versions) -> newest.put(model, versions.lastKey()));
+    announcements.forEach((model, versions) -> newest.put(model, versions.lastKey()));
     return newest;
   }
 
@@ -56,24 +74,35 @@
    * the given one is the newest.
    */
   public Optional<Instant> replacedAt(String model, long version) {
-    TreeMap<Long, Instant> versions = announcedAt.get(model);
+    TreeMap<Long, Announcement> versions = announcements.get(model);
     return versions == null
         ? Optional.empty()
-        : versions.tailMap(version, false).values().stream().min(Instant::compareTo);
+        : versions.tailMap(version, false).values().stream()
+            .map(Announcement::at)
+            .min(Instant::compareTo);
   }
 
-  /** Returns, for each model, the versions announced within a time and their ages. */
+  /** Returns, for each model, the versions known to be announced within a time and their ages. */
   public Map<String, Map<Long, Duration>> recent(Duration maxAge, Instant now) {
     Map<String, Map<Long, Duration>> recent = new HashMap<>();
-    announcedAt.forEach(
+    announcements.forEach(
         (model, versions) ->
             versions.forEach(
-                (version, at) -> {
-                  Duration age = Duration.between(at, now);
-                  if (age.compareTo(maxAge) <= 0) {
+                (version, announcement) -> {
+                  Duration age = Duration.between(announcement.at(), now);
+                  if (!announcement.isAssumed() && age.compareTo(maxAge) <= 0) {
                     recent.computeIfAbsent(model, any -> new HashMap<>()).put(version, age);
                   }
                 }));
     return recent;
   }
+
+  private record Announcement(Instant at, boolean isAssumed) {
+    private Announcement moreCertain(Announcement other) {
+      if (isAssumed != other.isAssumed) {
+        return isAssumed ? other : this;
+      }
+      return other.at.isBefore(at) ? other : this;
+    }
+  }
 }
--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsDeadline.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsDeadline.java
@@ -8,8 +8,10 @@
  * The time by which requests must no longer begin on replaced weights. Immutable.
  *
  * @param limit time after the announcement of newer weights, from the platform specification
+ * @param recoveryTime time after a restart or an outage for which the platform does not hold a node
+ *     to the limit
  */
-public record WeightsDeadline(Duration limit) {
+public record WeightsDeadline(Duration limit, Duration recoveryTime) {
 
   /**
    * Fraction of the limit after which the remaining runners change at once instead of after their
@@ -29,6 +31,24 @@
   /** Margin before the limit at which a request that has not begun is cancelled. */
   public static final Duration CANCEL_MARGIN = Duration.ofMillis(300);
 
+  /** Creates a deadline that a node has to keep from half of the limit after its start on. */
+  public WeightsDeadline(Duration limit) {
+    this(limit, limit.dividedBy(2));
+  }
+
+  /**
+   * Returns the time from which the limit counts for weights whose announcement was read just now.
+   *
+   * @param absentAt when this node last knew that they were not announced yet, empty if it never
+   *     did, as after its start
+   * @param now present time
+   */
+  public Instant countsFrom(Optional<Instant> absentAt, Instant now) {
+    // With an earlier time, requests would be refused which the platform allows.
+    Instant earliest = now.minus(limit).plus(recoveryTime);
+    return absentAt.filter(earliest::isBefore).orElse(earliest);
+  }
+
   /**
    * Returns whether a request may still be sent to a runner.
    *
--- a/core/src/test/java/org/dragonflyhill/core/relay/WeightsDeadlineTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/WeightsDeadlineTest.java
@@ -62,6 +62,35 @@
     assertEquals(announced.recent(Duration.ofSeconds(5), NOW.plusSeconds(6)), Map.of());
   }
 
+  /**
+   * Guards against one restart that shortens the limit for all nodes: a time that a node only
+   * assumes is not reported, and gives way to a known one, which may be later.
+   */
+  @Test
+  public void assumedTimeOfAnnouncementGivesWay() {
+    AnnouncedWeights weights = new AnnouncedWeights();
+    assertTrue(weights.assume("m", 2, NOW.minusSeconds(3)));
+    assertEquals(weights.replacedAt("m", 1), Optional.of(NOW.minusSeconds(3)));
+    assertEquals(weights.recent(Duration.ofSeconds(30), NOW), Map.of());
+    assertFalse(weights.announce("m", 2, NOW));
+    assertFalse(weights.assume("m", 2, NOW.minusSeconds(4)));
+    assertEquals(weights.replacedAt("m", 1), Optional.of(NOW));
+  }
+
+  /** The limit counts from the last time at which the weights were known not to be announced. */
+  @Test
+  public void limitCountsFromTheLastReadWithoutTheAnnouncement() {
+    var deadline = new WeightsDeadline(Duration.ofSeconds(6), Duration.ofSeconds(4));
+    Instant before = NOW.minusMillis(900);
+    assertEquals(deadline.countsFrom(Optional.of(before), NOW), before);
+    assertEquals(
+        deadline.countsFrom(Optional.of(NOW.minusSeconds(60)), NOW),
+        NOW.minusSeconds(2),
+        "after an outage");
+    assertEquals(
+        deadline.countsFrom(Optional.empty(), NOW), NOW.minusSeconds(2), "after a restart");
+  }
+
   /**
    * Requests that would wait in the queue of a runner with replaced weights until after the limit
    * are not sent there: the estimated wait counts, not only the time of sending.
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsTracker.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsTracker.java
@@ -41,31 +41,46 @@
     return deadline;
   }
 
-  /** Records that the operator announced a weight version of a model, as read from the log. */
-  public void announce(String model, long version) {
-    recordAnnouncement(model, version, clock.instant(), "log");
+  /**
+   * Records that the operator announced a weight version of a model, as read from the log.
+   *
+   * @param model name of the model
+   * @param version weight version
+   * @param absentAt when the log was last known not to have it, empty if it never was
+   */
+  public void announce(String model, long version, Optional<Instant> absentAt) {
+    Instant at = deadline.countsFrom(absentAt, clock.instant());
+    long before = announced.newest(model);
+    boolean isNewest =
+        absentAt.isPresent()
+            ? announced.announce(model, version, at)
+            : announced.assume(model, version, at);
+    if (isNewest) {
+      logAnnouncement(model, version, before, at, absentAt.isPresent() ? "log" : "log at start");
+    }
   }
 
   /** Records an announcement that a peer has reported. */
   void announceReported(String model, long version, Duration age, String peer) {
-    recordAnnouncement(model, version, clock.instant().minus(age), "node " + peer);
-  }
-
-  private void recordAnnouncement(String model, long version, Instant at, String source) {
-    long known = announced.newest(model);
+    Instant at = clock.instant().minus(age);
+    long before = announced.newest(model);
     if (announced.announce(model, version, at)) {
-      log.info(
-          "weights_named",
-          event ->
-              event
-                  .with("model", model)
-                  .with("version", version)
-                  .with("before", known)
-                  .with("age_ms", millisSince(at))
-                  .with("source", source));
+      logAnnouncement(model, version, before, at, "node " + peer);
     }
   }
 
+  private void logAnnouncement(String model, long version, long before, Instant at, String source) {
+    log.info(
+        "weights_named",
+        event ->
+            event
+                .with("model", model)
+                .with("version", version)
+                .with("before", before)
+                .with("age_ms", millisSince(at))
+                .with("source", source));
+  }
+
   /**
    * Records a weight version observed at a runner.
    *
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -115,7 +115,7 @@
                   new WeightsInUse(state.now().minus(WeightsInUse.MAX_UNLISTED_LIFETIME)),
                   System::currentTimeMillis)
               .start();
-          state.weights().announce("m", 2);
+          state.weights().announce("m", 2, Optional.of(state.now()));
           return null;
         });
   }
@@ -250,7 +250,7 @@
     onLoop(
         () -> {
           log.restoreEmpty();
-          state.weights().announce("m", 3);
+          state.weights().announce("m", 3, Optional.of(state.now()));
           return null;
         });
     await().atMost(Duration.ofSeconds(12)).until(() -> orders.tokens.size() > before.size());
