Cancel streams on replaced weights of which only the head has come

A request begins with its first token; the node took the head of the response for that. A runner that sends the head when it admits a request keeps the stream for as long as it waits, and the cancellation before the limit passed it by.

A request has begun once a part of the body has come. One that has not is cancelled as before. Its caller has the head by then: a stream that may be resumed goes on at another runner, any other one is broken off.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -907,8 +907,7 @@
       replaceAttempt(outdated, "weights_replaced", "the weights of its runner were replaced");
       return;
     }
-    boolean isReplaceable = isResponseStarted ? isResumable() : route.isRepeatable();
-    if (isReplaceable && silentAttempt.isEmpty()) {
+    if (mayStartAgain() && silentAttempt.isEmpty()) {
       currentAttempt.filter(current -> current.isSilent(now)).ifPresent(this::handOver);
     }
     if (hedge.isPresent() && silentAttempt.isEmpty() && triedPeers.isEmpty()) {
@@ -1021,11 +1020,16 @@
     if (resumeSilentAttempt()) {
       return;
     }
-    if (!route.isRepeatable() || !retryOnAnotherRunner(reason)) {
+    if (!mayStartAgain() || !retryOnAnotherRunner(reason)) {
       fail(reason, detail, RUNNER_FAILURE_RETRY_AFTER);
     }
   }
 
+  /** Returns whether another runner may be asked although this request may have run. */
+  private boolean mayStartAgain() {
+    return isResponseStarted ? isResumable() : route.isRepeatable();
+  }
+
   private void writeHead(HttpResponse response, boolean isLengthKnown) {
     var forwarded = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
     forwarded.headers().add(response.headers());
@@ -1288,6 +1292,7 @@
       if (isEnded || !isResponseStarted) {
         return;
       }
+      hasContent = true;
       if (isResumable()) {
         byte[] completeEvents = eventStream.append(ByteBufUtil.getBytes(bytes));
         if (completeEvents.length > 0) {
@@ -1397,7 +1402,7 @@
         return;
       }
       eventStream.dropPartial();
-      boolean isRetryAllowed = isResponseStarted ? isResumable() : route.isRepeatable();
+      boolean isRetryAllowed = mayStartAgain();
       if (isRetryAllowed && crashCheck.isSuspect()) {
         // The crash that may have broken off this answer is not known yet; an earlier one is.
         events.retryDenied(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
@@ -36,6 +36,10 @@
   Instant sentAt = Instant.MAX;
   Instant answeredAt = Instant.MAX;
   boolean hasResponse;
+
+  /** Whether a part of the response body has come, and so the request has begun. */
+  boolean hasContent;
+
   boolean isSilenceReported;
   boolean isEnded;
   private final RelayState state;
@@ -159,12 +163,13 @@
 
   /**
    * Returns whether the request was sent but has not begun, and its runner's weights were replaced
-   * so long ago that it must not begin on them any more.
+   * so long ago that it must not begin on them any more. The head of a response may come before the
+   * first token, with which a request begins.
    */
   boolean hasOutlivedWeights(Instant now) {
     return selection != null
         && connection.isPresent()
-        && !hasResponse
+        && !hasContent
         && state
             .weights()
             .deadline()
