Let unreached runners take up one place of a rollout

With them after all others, a runner that lost two answers by chance was ordered last, however old its weights; a runner that answers queries but no order counted as unreached after three orders only, and three of these kept the others on old weights for 4.6 s.

The order is that of the weights again, but runners that no order reaches, or two in a row, hold one place at most while others wait.

--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -14,8 +14,8 @@
 
 /**
  * Decides which runners change their weights next: a few at a time, first those whose weights were
- * replaced first, and among these the least loaded. Runners that orders do not reach come after all
- * others, since they would take up the places of runners that do change.
+ * replaced first, and among these the least loaded. Runners that orders do not reach take up one
+ * place only while others wait.
  *
  * <p>Not thread-safe; no argument may be null.
  */
@@ -43,7 +43,10 @@
    * Number of orders in a row without an answer from which they are assumed not to reach the
    * runner. A single answer may be lost on the way.
    */
-  public static final int MAX_UNANSWERED_ORDERS = 3;
+  public static final int MAX_UNANSWERED_ORDERS = 2;
+
+  /** Number of orders to runners that they do not reach, while other runners wait. */
+  private static final int MAX_UNREACHED_CHANGES = 1;
 
   private final Map<String, Change> changes = new HashMap<>();
 
@@ -81,8 +84,7 @@
   /**
    * Returns the orders to give now and records them as given.
    *
-   * @param outdated the runners that are behind, in the order in which they should change if all
-   *     are reached
+   * @param outdated the runners that are behind, in the order in which they should change
    * @param runners number of runners that share the weights
    * @param now present time
    */
@@ -90,13 +92,18 @@
     removeFinished(outdated, now);
     int limit = Math.max(MIN_CONCURRENT_CHANGES, (int) (runners * CONCURRENT_SHARE));
     List<OutdatedRunner> orders = new ArrayList<>();
-    List<OutdatedRunner> reachedFirst = new ArrayList<>(outdated);
-    reachedFirst.sort(Comparator.comparing(entry -> isUnreached(entry.runner().id())));
-    for (OutdatedRunner entry : reachedFirst) {
+    boolean areOthersWaiting =
+        outdated.stream()
+            .map(entry -> entry.runner().id())
+            .anyMatch(id -> !changes.containsKey(id) && !isUnreached(id));
+    int maxUnreached = areOthersWaiting ? MAX_UNREACHED_CHANGES : limit;
+    for (OutdatedRunner entry : outdated) {
       if (changes.size() >= limit) {
         break;
       }
-      if (!changes.containsKey(entry.runner().id())) {
+      String id = entry.runner().id();
+      boolean isOrderDue = !isUnreached(id) || unreachedChanges() < maxUnreached;
+      if (isOrderDue && !changes.containsKey(id)) {
         changes.put(entry.runner().id(), new Change(entry, now, ORDER_TIMEOUT));
         orders.add(entry);
       }
@@ -149,6 +156,10 @@
     unanswered.remove(runner);
   }
 
+  private long unreachedChanges() {
+    return changes.keySet().stream().filter(this::isUnreached).count();
+  }
+
   /** Returns whether the last orders to a runner did not reach it. */
   public boolean isUnreached(String runner) {
     return unanswered.getOrDefault(runner, 0) >= MAX_UNANSWERED_ORDERS;
