Cancel requests on replaced weights a second before the limit

That fits requests that waited at a runner which was silent, or whose cancellation came late: it left 0.3 s, and a sound runner may be silent for a second.

Requests that have not begun are cancelled 1 s before the limit instead of 0.3 s, and none are sent later than 1.5 s instead of 0.8 s before it, so that a request has as long to begin as before.

--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsDeadline.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsDeadline.java
@@ -21,15 +21,18 @@
 
   /**
    * Margin between the latest time at which a request may be sent to replaced weights and the
-   * limit. It covers the delay of the announcement at this node.
+   * limit. It is longer than {@link #CANCEL_MARGIN}, since the request needs time to begin.
    */
-  public static final Duration SEND_MARGIN = Duration.ofMillis(800);
+  public static final Duration SEND_MARGIN = Duration.ofMillis(1_500);
 
   /** Factor on the estimated time to first token, since queues grow while runners change. */
   private static final double ESTIMATE_FACTOR = 3;
 
-  /** Margin before the limit at which a request that has not begun is cancelled. */
-  public static final Duration CANCEL_MARGIN = Duration.ofMillis(300);
+  /**
+   * Margin before the limit at which a request that has not begun is cancelled. A runner that is
+   * silent for a second, as a sound one may be, notices the cancellation only then.
+   */
+  public static final Duration CANCEL_MARGIN = Duration.ofMillis(1_000);
 
   /** Creates a deadline that a node has to keep from half of the limit after its start on. */
   public WeightsDeadline(Duration limit) {
