Ignore the weight version that another runner names with 421

A runner could keep old weights for good. Versions observed at a runner only rise, peers spread them, and the rollout skips a runner that is believed to be up to date. The version in a response's head was recorded before its status was looked at. After a runner ended, another one may have its address; it answers 421 and names the version of its own weights, which counted for the runner that was asked.

With 421 a version counts only if the response names the runner that was asked. What the head of a response says about weights is handled in WeightsTracker, out of RelayedRequest.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -1130,15 +1130,8 @@
           state.recordTimeToFirstToken(selection, sentAt, now);
         }
       }
-      requestHeaders
-          .prompt()
-          .ifPresent(
-              prompt ->
-                  responseHeaders
-                      .weightVersion()
-                      .ifPresent(
-                          v -> state.weights().observeInAnswer(runner, prompt.model(), v, id())));
       int status = response.status().code();
+      state.weights().onHead(this, status, responseHeaders, id());
       // With 421 another runner answers, at the address of the one that was expected.
       if (responseHeaders.isDraining() && status != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
         state.markDraining(runner, "request " + id());
@@ -1152,13 +1145,6 @@
         return;
       }
       mayHaveRun = true;
-      requestHeaders
-          .prompt()
-          .ifPresent(
-              prompt ->
-                  state
-                      .weights()
-                      .logBegun(this, prompt.model(), responseHeaders.weightVersion(), id()));
       // Passed on, the status would promise that the request has not run, which nothing shows.
       boolean isUnprovenPromise = NOT_RUN_STATUSES.contains(status);
       if (status >= 500 || isUnprovenPromise) {
@@ -1241,12 +1227,7 @@
         state.markDraining(runner, "request " + id());
         return;
       }
-      String model = requestHeaders.prompt().get().model();
-      // The runner has changed its weights at least once. If the newest version were assumed, the
-      // rollout would skip a runner that may still be behind.
-      long newest = state.weights().announced().newest(model);
-      long next = Math.min(newest, selection.weightVersion() + 1);
-      state.weights().observe(runner, model, next, "status 421 of request " + id());
+      state.weights().onUnexpectedWeights(this, id());
       triedRunners.remove(runner.id());
     }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
@@ -110,6 +110,11 @@
         : Duration.ofNanos((long) (selection.firstTokenSeconds() * 1e9));
   }
 
+  /** Returns the model of the request, empty if its prompt cannot be read. */
+  Optional<String> model() {
+    return prompt.map(Prompt::model);
+  }
+
   /** Returns the weight version that the request names, {@link Runner#UNKNOWN_WEIGHTS} for none. */
   long expectedWeights() {
     return selection == null ? Runner.UNKNOWN_WEIGHTS : selection.weightVersion();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsTracker.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsTracker.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.daemon.relay;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -115,25 +116,55 @@
     }
   }
 
+  /**
+   * Handles the head of a response: records the weight version that it names, and logs the request
+   * if it has begun on replaced weights.
+   *
+   * @param attempt the attempt
+   * @param status status of the response
+   * @param headers fields of the response
+   * @param requestId id of the request
+   */
+  void onHead(
+      RunnerAttempt attempt, int status, HeaderCodec.ResponseHeaders headers, String requestId) {
+    if (attempt.model().isEmpty()) {
+      return;
+    }
+    String model = attempt.model().get();
+    boolean isMisdirected = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    boolean isNamed = headers.runnerId().filter(attempt.runner.id()::equals).isPresent();
+    // With 421, another runner that has the address now may answer, with its own version.
+    if (headers.weightVersion().isPresent() && (!isMisdirected || isNamed)) {
+      observeInAnswer(attempt.runner, model, headers.weightVersion().getAsLong(), requestId);
+    }
+    if (!isMisdirected && !headers.isNotRun()) {
+      logBegun(attempt, model, headers.weightVersion(), requestId);
+    }
+  }
+
+  /**
+   * Records that a runner does not have the weights that a request expected. It has changed them at
+   * least once; if the newest version were assumed, the rollout would skip a runner that may still
+   * be behind.
+   */
+  void onUnexpectedWeights(RunnerAttempt attempt, String requestId) {
+    String model = attempt.model().orElseThrow();
+    long next = Math.min(announced.newest(model), attempt.expectedWeights() + 1);
+    observe(attempt.runner, model, next, "status 421 of request " + requestId);
+  }
+
   /**
    * Records a weight version that an answer names. Nothing is recorded for a model that neither the
    * operator nor the runner's entry names, since nothing would tell when its weights change.
    */
-  void observeInAnswer(Runner runner, String model, long version, String requestId) {
+  private void observeInAnswer(Runner runner, String model, long version, String requestId) {
     if (runner.info().weightVersions().containsKey(model) || announced.newest(model) > 0) {
       observe(runner, model, version, "request " + requestId);
     }
   }
 
-  /**
-   * Logs a request that has begun on replaced weights.
-   *
-   * @param attempt the attempt, whose response has started
-   * @param model model of the request
-   * @param answered weight version that the response names, empty if it names none
-   * @param requestId id of the request
-   */
-  void logBegun(RunnerAttempt attempt, String model, OptionalLong answered, String requestId) {
+  private void logBegun(
+      RunnerAttempt attempt, String model, OptionalLong answered, String requestId) {
     long expected = attempt.expectedWeights();
     Optional<Instant> replacedAt = announced.replacedAt(model, answered.orElse(expected));
     if (replacedAt.isEmpty()) {
