Hold requests without a readable prompt to the limit of replaced weights

A request whose model or token counts the node cannot read names no weight version, so a runner takes it whatever weights it has.

Its model may be any that the runner has, so the earliest replacement of these counts, for the selection and for the cancellation. Besides, the limit is looked at again when the connection to the runner is open, since that may take 0.7 s; this has no test of its own.

--- a/core/src/main/java/org/dragonflyhill/core/relay/AnnouncedWeights.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/AnnouncedWeights.java
@@ -82,6 +82,14 @@
             .min(Instant::compareTo);
   }
 
+  /** Returns when the first of the weights that a runner has was replaced, empty if none was. */
+  public Optional<Instant> replacedAt(Runner runner) {
+    return runner.info().weightVersions().keySet().stream()
+        .map(model -> replacedAt(model, runner.weightVersion(model)))
+        .flatMap(Optional::stream)
+        .min(Instant::compareTo);
+  }
+
   /** Returns, for each model, the versions known to be announced within a time and their ages. */
   public Map<String, Map<Long, Duration>> recent(Duration maxAge, Instant now) {
     Map<String, Map<Long, Duration>> recent = new HashMap<>();
--- a/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/RunnerSelector.java
@@ -109,15 +109,21 @@
   }
 
   /**
-   * Returns the runner with the lowest cost for a request without a prompt. With many peers, whose
-   * loads are known late, two runners chosen at random are compared: all nodes would send to the
-   * least loaded one until they hear of each other's requests.
+   * Returns the runner with the lowest cost for a request without a prompt. Runners on which it
+   * would begin too late on replaced weights are left out. With many peers, whose loads are known
+   * late, two runners chosen at random are compared: all nodes would send to the least loaded one
+   * until they hear of each other's requests.
    */
   public Optional<Runner> selectForPlainRequest(
       Collection<Runner> runners, String requestId, Instant now) {
     Runner best = null;
     double lowestCost = Double.MAX_VALUE;
-    for (Runner runner : peers.areLoadsOld() ? choices(runners, requestId, now) : runners) {
+    // The model of the request is not known, so it may be any that the runner has.
+    List<Runner> permitted =
+        runners.stream()
+            .filter(runner -> weightsDeadline.maySend(announcedWeights.replacedAt(runner), 0, now))
+            .toList();
+    for (Runner runner : peers.areLoadsOld() ? choices(permitted, requestId, now) : permitted) {
       double load = (double) running(runner, now) / Math.max(1, runner.info().slots());
       double cost =
           load
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -645,6 +645,15 @@
       return;
     }
     final Instant now = state.now();
+    if (!chosen.mayBeginOnWeights(now)) {
+      // Opening the connection took long.
+      server.runnerConnections().release(connection);
+      currentAttempt = Optional.empty();
+      if (!resumeSilentAttempt()) {
+        dispatch();
+      }
+      return;
+    }
     DefaultHttpRequest forwarded = HopByHopHeaders.copyRequest(request, body.readableBytes());
     HttpHeaders headers = forwarded.headers();
     server.headerCodec().removeReservedHeaders(headers, configuration.hasOrganisations());
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
@@ -172,18 +172,20 @@
    * first token, with which a request begins.
    */
   boolean hasOutlivedWeights(Instant now) {
-    return selection != null
-        && connection.isPresent()
+    return connection.isPresent()
         && !hasContent
-        && state
-            .weights()
-            .deadline()
-            .mustCancel(
-                state
-                    .weights()
-                    .announced()
-                    .replacedAt(prompt.get().model(), selection.weightVersion()),
-                now);
+        && state.weights().deadline().mustCancel(weightsReplacedAt(), now);
+  }
+
+  /** Returns whether the request may be sent now; its runner was selected some time ago. */
+  boolean mayBeginOnWeights(Instant now) {
+    return state.weights().deadline().maySend(weightsReplacedAt(), 0, now);
+  }
+
+  private Optional<Instant> weightsReplacedAt() {
+    return selection == null
+        ? state.weights().announced().replacedAt(runner)
+        : state.weights().announced().replacedAt(prompt.get().model(), selection.weightVersion());
   }
 
   void cancel() {
