Order the runners in reach, and leave the others to another node

A node that could not reach one service with a runner behind gave no orders at all; if each node is cut off from some service, nobody does. And a holder of the lease whose orders reach none of the runners left renewed it all the while, so that no node that reaches them could take over. Class of fault: a duty held by liveness, without progress.

A node orders the runners of the services that it reaches; if these are not all that are behind, it takes the lease 0.7 s later, so that a node which reaches all comes first. After four orders in a row that do not reach a runner it gets none of this node for 5.5 s.

WeightsControllerTest.ordersRunnersInReachWhileAnotherServiceIsNot (no order within 8 s) and leavesTheLeaseIfNoOrderReachesTheRunnersLeft (renewed for 6 s) failed before and pass.

--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -48,11 +48,22 @@
   /** Number of orders to runners that they do not reach, while other runners wait. */
   private static final int MAX_UNREACHED_CHANGES = 1;
 
+  /** Number of orders in a row without an answer after which a runner gets none for a while. */
+  private static final int ORDERS_BEFORE_PAUSE = 4;
+
+  /**
+   * Time for which a runner that orders do not reach gets none of this node. It is longer than a
+   * node waits before it takes the lease from a live holder, so that another one can try.
+   */
+  public static final Duration PAUSE = Duration.ofMillis(5_500);
+
   private final Map<String, Change> changes = new HashMap<>();
 
   /** Number of orders in a row without an answer, by runner. */
   private final Map<String, Integer> unanswered = new HashMap<>();
 
+  private final Map<String, Instant> pausedUntil = new HashMap<>();
+
   /**
    * Returns the available runners whose weights have been replaced, in the order in which they
    * should change.
@@ -102,7 +113,8 @@
         break;
       }
       String id = entry.runner().id();
-      boolean isOrderDue = !isUnreached(id) || unreachedChanges() < maxUnreached;
+      boolean isOrderDue =
+          !isPaused(id, now) && (!isUnreached(id) || unreachedChanges() < maxUnreached);
       if (isOrderDue && !changes.containsKey(id)) {
         changes.put(entry.runner().id(), new Change(entry, now, ORDER_TIMEOUT));
         orders.add(entry);
@@ -119,6 +131,7 @@
     Set<String> outdatedIds = new HashSet<>();
     outdated.forEach(entry -> outdatedIds.add(entry.runner().id()));
     unanswered.keySet().retainAll(outdatedIds);
+    pausedUntil.keySet().retainAll(outdatedIds);
     changes
         .values()
         .removeIf(
@@ -129,14 +142,21 @@
   }
 
   /** Records that a runner's answer to its order was lost, so that the order is repeated soon. */
-  public void orderUnanswered(String runner) {
-    unanswered.merge(runner, 1, Integer::sum);
-    repeatSoon(runner);
+  public void orderUnanswered(String runner, Instant now) {
+    recordUnanswered(runner, unanswered.getOrDefault(runner, 0) + 1, now);
   }
 
   /** Records that no order reaches a runner, for example because it sends nothing. */
-  public void orderNotDelivered(String runner) {
-    unanswered.put(runner, MAX_UNANSWERED_ORDERS);
+  public void orderNotDelivered(String runner, Instant now) {
+    int count = unanswered.getOrDefault(runner, 0) + 1;
+    recordUnanswered(runner, Math.max(count, MAX_UNANSWERED_ORDERS), now);
+  }
+
+  private void recordUnanswered(String runner, int count, Instant now) {
+    unanswered.put(runner, count);
+    if (count >= ORDERS_BEFORE_PAUSE) {
+      pausedUntil.put(runner, now.plus(PAUSE));
+    }
     repeatSoon(runner);
   }
 
@@ -154,6 +174,13 @@
   /** Records that a runner has answered an order. */
   public void orderAnswered(String runner) {
     unanswered.remove(runner);
+    pausedUntil.remove(runner);
+  }
+
+  /** Returns whether a runner gets no orders for a while, since none has reached it. */
+  public boolean isPaused(String runner, Instant now) {
+    Instant until = pausedUntil.get(runner);
+    return until != null && now.isBefore(until);
   }
 
   private long unreachedChanges() {
@@ -175,7 +202,7 @@
     return changes.keySet();
   }
 
-  /** Removes all orders, for a node that no longer gives any. */
+  /** Removes all orders, for a node that gives none at present. */
   public void clear() {
     changes.clear();
   }
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -84,7 +84,7 @@
   public void repeatsUnansweredOrdersSoon() {
     WeightsRollout rollout = new WeightsRollout();
     next(rollout, NOW);
-    rollout.orderUnanswered("r2");
+    rollout.orderUnanswered("r2", NOW);
     Instant later = NOW.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
     assertEquals(next(rollout, later.minusMillis(1)), List.of());
     assertEquals(next(rollout, later), List.of("r2"));
@@ -95,7 +95,7 @@
   public void unreachedRunnersTakeUpOnePlaceWhileOthersWait() {
     WeightsRollout rollout = new WeightsRollout();
     next(rollout, NOW);
-    List.of("r1", "r2", "r3").forEach(rollout::orderNotDelivered);
+    List.of("r1", "r2", "r3").forEach(id -> rollout.orderNotDelivered(id, NOW));
     Instant later = NOW.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
     assertEquals(next(rollout, later), List.of("r1", "r4", "r5"));
     table.find("r4").orElseThrow().observeWeightVersion("m", 2);
@@ -112,7 +112,7 @@
     for (int i = 0; i < WeightsRollout.MAX_UNANSWERED_ORDERS; i++) {
       assertFalse(rollout.isUnreached("r1"));
       assertTrue(next(rollout, now).contains("r1"));
-      rollout.orderUnanswered("r1");
+      rollout.orderUnanswered("r1", now);
       now = now.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
     }
     assertTrue(rollout.isUnreached("r1"));
@@ -120,6 +120,23 @@
     assertFalse(rollout.isUnreached("r1"));
   }
 
+  /** A runner that orders do not reach is left to other nodes for a while. */
+  @Test
+  public void pausesOrdersToUnreachedRunner() {
+    WeightsRollout rollout = new WeightsRollout();
+    Instant now = NOW;
+    while (!rollout.isPaused("r1", now)) {
+      assertTrue(next(rollout, now).contains("r1"));
+      rollout.orderNotDelivered("r1", now);
+      now = now.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
+      assertTrue(now.isBefore(NOW.plusSeconds(5)));
+    }
+    assertFalse(next(rollout, now).contains("r1"));
+    assertTrue(next(rollout, now.plus(WeightsRollout.PAUSE)).contains("r1"));
+    rollout.orderAnswered("r1");
+    assertFalse(rollout.isPaused("r1", now));
+  }
+
   /** In a large service, the number of concurrent changes grows with the runners. */
   @Test
   public void changesMoreAtOnceInLargeServices() {
@@ -198,7 +215,7 @@
           WeightsRollout.outdatedRunners(table.all(), announced, Runner::running);
       for (WeightsRollout.OutdatedRunner entry : rollout.nextOrders(outdated, 8, now)) {
         if (orders++ % 2 == 1) {
-          rollout.orderUnanswered(entry.runner().id());
+          rollout.orderUnanswered(entry.runner().id(), now);
         } else {
           boolean isUrgent = deadline.isChangeUrgent(entry.replacedAt(), now);
           completeAt.put(entry.runner(), now.plusMillis(isUrgent ? 300 : 1_500));
@@ -243,7 +260,14 @@
       lostAt.entrySet().stream()
           .filter(entry -> entry.getValue().equals(now))
           .map(Map.Entry::getKey)
-          .forEach(areQueriesAnswered ? rollout::orderUnanswered : rollout::orderNotDelivered);
+          .forEach(
+              id -> {
+                if (areQueriesAnswered) {
+                  rollout.orderUnanswered(id, now);
+                } else {
+                  rollout.orderNotDelivered(id, now);
+                }
+              });
       for (WeightsRollout.OutdatedRunner entry :
           rollout.nextOrders(
               WeightsRollout.outdatedRunners(table.all(), announced, Runner::running), 8, now)) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -34,6 +34,12 @@
    */
   private static final Duration MAX_TAKEOVER_DELAY = Duration.ofMillis(500);
 
+  /**
+   * Delay of a node that reaches only some of the runners that are behind, so that one which
+   * reaches all of them takes the lease first.
+   */
+  private static final Duration PARTIAL_REACH_DELAY = Duration.ofMillis(700);
+
   /** Interval between queries to a runner that is changing its weights. */
   private static final Duration QUERY_INTERVAL = Duration.ofMillis(150);
 
@@ -130,24 +136,28 @@
     // A draining runner gets no orders, but its running requests may still read old parts.
     inUse.observe(state.runners().all(), now);
     freeReplacedParts(now);
-    if (outdated.isEmpty() || state.isStopping() || isOutOfReach(outdated)) {
+    List<WeightsRollout.OutdatedRunner> inReach =
+        outdated.stream().filter(entry -> isInReach(entry.runner(), now)).toList();
+    if (inReach.isEmpty() || state.isStopping()) {
+      // The lease expires, so that a node which reaches the runners left can take it.
       outdatedSince = Instant.MAX;
       rollout.clear();
     } else {
       if (outdatedSince.equals(Instant.MAX)) {
         outdatedSince = now;
-        takeoverDelay = chooseTakeoverDelay();
+        takeoverDelay = chooseTakeoverDelay(inReach.size() == outdated.size());
       }
       rollOut(outdated, now);
     }
-    logStatus(outdated, now);
+    logStatus(outdated, inReach.isEmpty(), now);
     for (Runner runner : state.runners().all()) {
       runner.setChangingWeights(rollout.changingRunners().contains(runner.id()));
     }
   }
 
   /** Logs which runners are behind and why this node gives them no orders, if it does not. */
-  private void logStatus(List<WeightsRollout.OutdatedRunner> outdated, Instant now) {
+  private void logStatus(
+      List<WeightsRollout.OutdatedRunner> outdated, boolean isNoneInReach, Instant now) {
     if (outdated.isEmpty() || Duration.between(lastStatusAt, now).compareTo(STATUS_INTERVAL) < 0) {
       return;
     }
@@ -155,7 +165,7 @@
     String role =
         state.isStopping()
             ? "stopping"
-            : isOutOfReach(outdated)
+            : isNoneInReach
                 ? "out of reach"
                 : lease.held(now).isPresent() ? "gives orders" : "waits";
     Duration age = Duration.between(outdated.get(0).replacedAt(), now);
@@ -172,9 +182,9 @@
                     .with("holder", lease.lastHolder().orElse("")));
   }
 
-  /** Returns whether orders to some of the runners would not arrive, but another node's may. */
-  private boolean isOutOfReach(List<WeightsRollout.OutdatedRunner> outdated) {
-    return outdated.stream().anyMatch(each -> state.isOutOfReach(each.runner().info().service()));
+  /** Returns whether orders of this node may reach a runner; if not, another node's may. */
+  private boolean isInReach(Runner runner, Instant now) {
+    return !state.isOutOfReach(runner.info().service()) && !rollout.isPaused(runner.id(), now);
   }
 
   /**
@@ -219,11 +229,12 @@
     }
   }
 
-  private Duration chooseTakeoverDelay() {
+  private Duration chooseTakeoverDelay(boolean areAllInReach) {
+    Duration delay = areAllInReach ? Duration.ZERO : PARTIAL_REACH_DELAY;
     if (lease.lastHolder().filter(holder::equals).isPresent()) {
-      return Duration.ZERO;
+      return delay;
     }
-    return Duration.ofMillis(
+    return delay.plusMillis(
         ThreadLocalRandom.current().nextLong(50, MAX_TAKEOVER_DELAY.toMillis()));
   }
 
@@ -322,7 +333,12 @@
 
   private void sendOrders(List<WeightsRollout.OutdatedRunner> outdated, Instant now) {
     int runners = state.runners().all().size();
-    for (WeightsRollout.OutdatedRunner entry : rollout.nextOrders(outdated, runners, now)) {
+    List<WeightsRollout.OutdatedRunner> ofServicesInReach =
+        outdated.stream()
+            .filter(entry -> !state.isOutOfReach(entry.runner().info().service()))
+            .toList();
+    for (WeightsRollout.OutdatedRunner entry :
+        rollout.nextOrders(ofServicesInReach, runners, now)) {
       prepareOrder(entry);
     }
     for (WeightsRollout.OutdatedRunner entry : outdated) {
@@ -340,7 +356,7 @@
         runner.info(),
         result -> {
           if (result.isLeft()) {
-            rollout.orderNotDelivered(runner.id());
+            rollout.orderNotDelivered(runner.id(), state.now());
             logUnanswered(runner, result.getLeft());
             return;
           }
@@ -394,12 +410,12 @@
       WeightsRollout.OutdatedRunner entry, Either<String, RunnerOrders.Outcome> result) {
     Runner runner = entry.runner();
     if (result.isLeft()) {
-      rollout.orderUnanswered(runner.id());
+      rollout.orderUnanswered(runner.id(), state.now());
       logUnanswered(runner, result.getLeft());
       return;
     }
     if (result.get() == RunnerOrders.Outcome.NOT_DELIVERED) {
-      rollout.orderNotDelivered(runner.id());
+      rollout.orderNotDelivered(runner.id(), state.now());
       logUnanswered(runner, "no connection for an order");
       return;
     }
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/WeightsControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -15,7 +16,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -161,6 +164,48 @@
     await().atMost(Duration.ofSeconds(8)).until(() -> orders.changed.size() == RUNNERS);
   }
 
+  /**
+   * Guards against a rollout that nobody carries out: a node gave no orders at all while one
+   * service with a runner behind was out of its reach, and each node may be cut off from another
+   * one.
+   */
+  @Test
+  public void ordersRunnersInReachWhileAnotherServiceIsNot() throws Exception {
+    onLoop(
+        () -> {
+          Endpoint endpoint = new Endpoint("10.0.1.1", 80);
+          state.addOrUpdateRunner(
+              new RunnerInfo(
+                  "far", "t", endpoint, "z", 8, false, Map.of("m", 1L), Optional.empty(), 1));
+          state.recordConnectAttempt(endpoint, false);
+          return null;
+        });
+    startController("me");
+    await().atMost(Duration.ofSeconds(8)).until(() -> orders.changed.size() == RUNNERS);
+    assertFalse(orders.changed.contains("far"));
+  }
+
+  /**
+   * Guards against a lease that nobody else gets: its holder reaches none of the runners that are
+   * left, and renewed it all the while.
+   */
+  @Test
+  public void leavesTheLeaseIfNoOrderReachesTheRunnersLeft() throws Exception {
+    orders.unreached.add("r4");
+    startController("me");
+    await().atMost(Duration.ofSeconds(8)).until(() -> orders.changed.size() == RUNNERS - 1);
+    await()
+        .atMost(Duration.ofSeconds(6))
+        .until(
+            () -> {
+              long records = onLoop(() -> log.end.offset());
+              Thread.sleep(LeaderLease.DURATION.toMillis());
+              return onLoop(() -> log.end.offset()) == records;
+            });
+    orders.unreached.clear();
+    await().atMost(Duration.ofSeconds(12)).until(() -> orders.changed.size() == RUNNERS);
+  }
+
   /**
    * Guards against a lease holder that cannot reach the log and so does not learn of newer weights:
    * it knew version 2 as the newest and freed parts of version 3. Found by a randomised run of the
@@ -299,6 +344,7 @@
     private final List<String> changed = new CopyOnWriteArrayList<>();
     private final List<PartDirectory.Key> freed = new CopyOnWriteArrayList<>();
     private final Map<String, Integer> queries = new HashMap<>();
+    private final Set<String> unreached = ConcurrentHashMap.newKeySet();
     private volatile Outcome outcome = Outcome.ACCEPTED;
     private volatile int maxConcurrentChanges;
 
@@ -320,6 +366,10 @@
 
     @Override
     public void queryWeights(RunnerInfo runner, Consumer<Either<String, WeightsReport>> done) {
+      if (unreached.contains(runner.id())) {
+        done.accept(Either.left("no response"));
+        return;
+      }
       int queryCount = queries.merge(runner.id(), 1, Integer::sum);
       if (queryCount >= 2 && !changed.contains(runner.id())) {
         queries.remove(runner.id());
