Refuse to go on with a stream at a runner that answers with something else

Here an answer with another status than 200 was refused already. One with 200 that is no event stream, such as a page with an error text, was passed on as far as it had blank lines, in place of the rest of the stream.

A stream that has begun goes on only with a 200 that is an event stream; the answer counts as refused otherwise, and the caller's stream ends incomplete if no runner is left.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -1168,7 +1168,7 @@
       } else {
         runner.recordSuccess(now);
       }
-      if (isResponseStarted && status != 200) {
+      if (isResponseStarted && (status != 200 || !isEventStream(response))) {
         abandon("resume_refused");
         return;
       }
