Let nodes that reach a runner have the lease before those that gave up on it

Nodes of which none reaches the last runners could take the lease in turns for as long as a cut lasted: each gave up on its runners at different times, so it always had one left to try, or took the lease back as its last holder.

All runners that a node has given up on share one pause, and such a node leaves the lease to others for another 0.7 s.

--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -62,7 +62,14 @@
   /** Number of orders in a row without an answer, by runner. */
   private final Map<String, Integer> unanswered = new HashMap<>();
 
-  private final Map<String, Instant> pausedUntil = new HashMap<>();
+  /** Runners that this node has given up on. */
+  private final Set<String> givenUp = new HashSet<>();
+
+  /**
+   * End of the pause of all given-up runners. With a pause for each, a node might always have one
+   * left to try, and keep the lease.
+   */
+  private Instant pausedUntil = Instant.MIN;
 
   /**
    * Returns the available runners whose weights have been replaced, in the order in which they
@@ -131,7 +138,7 @@
     Set<String> outdatedIds = new HashSet<>();
     outdated.forEach(entry -> outdatedIds.add(entry.runner().id()));
     unanswered.keySet().retainAll(outdatedIds);
-    pausedUntil.keySet().retainAll(outdatedIds);
+    givenUp.retainAll(outdatedIds);
     changes
         .values()
         .removeIf(
@@ -155,7 +162,8 @@
   private void recordUnanswered(String runner, int count, Instant now) {
     unanswered.put(runner, count);
     if (count >= ORDERS_BEFORE_PAUSE) {
-      pausedUntil.put(runner, now.plus(PAUSE));
+      givenUp.add(runner);
+      pausedUntil = now.plus(PAUSE);
     }
     repeatSoon(runner);
   }
@@ -174,13 +182,17 @@
   /** Records that a runner has answered an order. */
   public void orderAnswered(String runner) {
     unanswered.remove(runner);
-    pausedUntil.remove(runner);
+    givenUp.remove(runner);
   }
 
   /** Returns whether a runner gets no orders for a while, since none has reached it. */
   public boolean isPaused(String runner, Instant now) {
-    Instant until = pausedUntil.get(runner);
-    return until != null && now.isBefore(until);
+    return givenUp.contains(runner) && now.isBefore(pausedUntil);
+  }
+
+  /** Returns whether this node has given up on a runner that is still behind. */
+  public boolean hasGivenUp() {
+    return !givenUp.isEmpty();
   }
 
   private long unreachedChanges() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -40,6 +40,12 @@
    */
   private static final Duration PARTIAL_REACH_DELAY = Duration.ofMillis(700);
 
+  /**
+   * Time that a node leaves the lease to others after it has given up on a runner. Otherwise the
+   * nodes that do not reach it could take the lease in turns.
+   */
+  private static final Duration YIELD_TIME = Duration.ofMillis(700);
+
   /** Interval between queries to a runner that is changing its weights. */
   private static final Duration QUERY_INTERVAL = Duration.ofMillis(150);
 
@@ -70,6 +76,10 @@
   private final Map<String, Instant> queriedAt = new HashMap<>();
   private boolean isAppending;
   private Instant outdatedSince = Instant.MAX;
+
+  /** Time since which this node might have taken the lease. */
+  private Instant acquirableSince = Instant.MAX;
+
   private Duration takeoverDelay = Duration.ZERO;
   private Instant lastSweepAt = Instant.MIN;
   private Instant lastStatusAt = Instant.MIN;
@@ -268,7 +278,12 @@
     boolean isOtherActive =
         lease.lastHolder().filter(last -> isOtherNodeActive(last, now)).isPresent();
     boolean hasWaited = Duration.between(outdatedSince, now).compareTo(takeoverDelay) >= 0;
-    if (hasWaited && lease.mayAcquire(isOtherActive, now)) {
+    if (!hasWaited || !lease.mayAcquire(isOtherActive, now)) {
+      acquirableSince = Instant.MAX;
+      return;
+    }
+    acquirableSince = acquirableSince.equals(Instant.MAX) ? now : acquirableSince;
+    if (!rollout.hasGivenUp() || !now.isBefore(acquirableSince.plus(YIELD_TIME))) {
       appendLeaseRecord(now);
     }
   }
