--- a/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/WeightsRollout.java
@@ -48,7 +48,10 @@
   /** Number of orders to runners that they do not reach, while other runners wait. */
   private static final int MAX_UNREACHED_CHANGES = 1;
 
-  /** Number of orders in a row without an answer after which a runner gets none for a while. */
+  /**
+   * Number of orders in a row without an answer after which a runner that they do not reach gets
+   * none for a while. One that only leaves orders unanswered may still carry them out.
+   */
   private static final int ORDERS_BEFORE_PAUSE = 4;
 
   /**
@@ -149,17 +152,14 @@
   }
 
   /** Records that a runner's answer to its order was lost, so that the order is repeated soon. */
-  public void orderUnanswered(String runner, Instant now) {
-    recordUnanswered(runner, unanswered.getOrDefault(runner, 0) + 1, now);
+  public void orderUnanswered(String runner) {
+    unanswered.merge(runner, 1, Integer::sum);
+    repeatSoon(runner);
   }
 
   /** Records that no order reaches a runner, for example because it sends nothing. */
   public void orderNotDelivered(String runner, Instant now) {
-    int count = unanswered.getOrDefault(runner, 0) + 1;
-    recordUnanswered(runner, Math.max(count, MAX_UNANSWERED_ORDERS), now);
-  }
-
-  private void recordUnanswered(String runner, int count, Instant now) {
+    int count = Math.max(unanswered.getOrDefault(runner, 0) + 1, MAX_UNANSWERED_ORDERS);
     unanswered.put(runner, count);
     if (count >= ORDERS_BEFORE_PAUSE) {
       givenUp.add(runner);
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutPatternTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutPatternTest.java
@@ -292,7 +292,7 @@
       if (runner.isSilent(now) || unreached.containsKey(id)) {
         lostAt.put(id, now.plusMillis(800));
       } else if (random.nextDouble() < lostOrders) {
-        rollout.orderUnanswered(id, now);
+        rollout.orderUnanswered(id);
       } else {
         rollout.orderAnswered(id);
         runner.changedAt = runner.changedAt.or(() -> Optional.of(now.plusMillis(300)));
--- a/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/RolloutTest.java
@@ -84,7 +84,7 @@
   public void repeatsUnansweredOrdersSoon() {
     WeightsRollout rollout = new WeightsRollout();
     next(rollout, NOW);
-    rollout.orderUnanswered("r2", NOW);
+    rollout.orderUnanswered("r2");
     Instant later = NOW.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
     assertEquals(next(rollout, later.minusMillis(1)), List.of());
     assertEquals(next(rollout, later), List.of("r2"));
@@ -112,10 +112,14 @@
     for (int i = 0; i < WeightsRollout.MAX_UNANSWERED_ORDERS; i++) {
       assertFalse(rollout.isUnreached("r1"));
       assertTrue(next(rollout, now).contains("r1"));
-      rollout.orderUnanswered("r1", now);
+      rollout.orderUnanswered("r1");
       now = now.plus(WeightsRollout.UNANSWERED_ORDER_TIMEOUT);
     }
     assertTrue(rollout.isUnreached("r1"));
+    for (int i = 0; i < 5; i++) {
+      rollout.orderUnanswered("r1");
+    }
+    assertFalse(rollout.isPaused("r1", now), "it may carry the orders out");
     rollout.orderAnswered("r1");
     assertFalse(rollout.isUnreached("r1"));
   }
@@ -215,7 +219,7 @@
           WeightsRollout.outdatedRunners(table.all(), announced, Runner::running);
       for (WeightsRollout.OutdatedRunner entry : rollout.nextOrders(outdated, 8, now)) {
         if (orders++ % 2 == 1) {
-          rollout.orderUnanswered(entry.runner().id(), now);
+          rollout.orderUnanswered(entry.runner().id());
         } else {
           boolean isUrgent = deadline.isChangeUrgent(entry.replacedAt(), now);
           completeAt.put(entry.runner(), now.plusMillis(isUrgent ? 300 : 1_500));
@@ -263,7 +267,7 @@
           .forEach(
               id -> {
                 if (areQueriesAnswered) {
-                  rollout.orderUnanswered(id, now);
+                  rollout.orderUnanswered(id);
                 } else {
                   rollout.orderNotDelivered(id, now);
                 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsController.java
@@ -425,7 +425,7 @@
       WeightsRollout.OutdatedRunner entry, Either<String, RunnerOrders.Outcome> result) {
     Runner runner = entry.runner();
     if (result.isLeft()) {
-      rollout.orderUnanswered(runner.id(), state.now());
+      rollout.orderUnanswered(runner.id());
       logUnanswered(runner, result.getLeft());
       return;
     }
