--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsTracker.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/WeightsTracker.java
@@ -173,7 +173,7 @@
     }
     long replacedMillis = millisSince(replacedAt.get());
     boolean isLate = replacedMillis > deadline.limit().toMillis();
-    metrics.count(isLate ? "relay.begun_after_weights_limit" : "relay.begun_before_weights_limit");
+    metrics.count(isLate ? "relay.begun_after_weights_limit" : "relay.begun_on_replaced_weights");
     log.info(
         isLate ? "begun_after_weights_limit" : "begun_on_replaced_weights",
         event ->
