Log how late the event loop is, and what late requests waited for

event_loop_late and the histogram relay.event_loop_lag_ms tell how late periodic tasks run. sent_late, caller_gone and the lines of attempts name the time a request lay unread, was received, waited for a runner, for a connection, and ran; caller_gone also how long the close may have lain unread and what of the request the socket had not taken.

Decisions are unchanged.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -51,6 +51,7 @@
 
   private final EventLoop loop;
   private final PollTimes pollTimes;
+  private final EventLoopLag lag;
   private final RelayMemory memory;
   private final BodyAdmission bodies;
   private final RelayState state;
@@ -82,6 +83,7 @@
     bodies = new BodyAdmission(memory);
     this.state = state;
     this.headerCodec = headerCodec;
+    lag = new EventLoopLag(REQUEST_CHECK_INTERVAL, state.metrics(), state.log(), state.now());
     this.runnerConnections =
         new RunnerConnectionPool(
             loop, headerCodec, state.log(), state::now, state::recordConnectAttempt);
@@ -177,6 +179,7 @@
 
   private void checkRequestTimeouts() {
     Instant now = state.now();
+    lag.record(now);
     List.copyOf(activeRequests).forEach(request -> request.checkTimeouts(now));
   }
 
@@ -254,7 +257,12 @@
 
   /** Returns the arrival of input that is read now. */
   Arrival arrival(Instant now) {
-    return new Arrival(now.minus(pollTimes.maxUnreadTime()), now);
+    return new Arrival(now.minus(maxUnread()), now);
+  }
+
+  /** Returns the longest time for which input that is read now may have lain unread. */
+  Duration maxUnread() {
+    return pollTimes.maxUnreadTime();
   }
 
   RelayConfiguration.CallerLimits limits() {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -99,6 +99,7 @@
   private final HttpRequest request;
   private final ByteBuf body;
   private final Arrival arrival;
+  private final RequestTimes times;
   private final RequestLog events;
   private final Set<String> triedRunners = new HashSet<>();
   private final EventStream eventStream;
@@ -158,7 +159,8 @@
     this.request = request;
     this.body = body;
     this.arrival = arrival;
-    events = new RequestLog(state, this::id);
+    times = new RequestTimes(arrival, state.now());
+    events = new RequestLog(state, this::id, times);
     eventStream = new EventStream(server.memory().openEvent());
   }
 
@@ -468,6 +470,7 @@
   private void connect(Attempt chosen) {
     currentAttempt = Optional.of(chosen);
     triedRunners.add(chosen.runner.id());
+    times.onConnecting(state.now());
     chosen.runner.recordDispatch(state.now());
     server
         .runnerConnections()
@@ -671,6 +674,8 @@
                 lastEventId));
     attempts.recordSent();
     hasUnusedRetry = false;
+    times.onSent(now);
+    events.sentLate(route, chosen, timeLeft(now));
     lastEventId.ifPresent(last -> events.streamResumed(firstAttempt, last, chosen.runner));
     chosen.onSent(connection, now);
     connection.send(forwarded, body.retainedDuplicate(), id(), chosen);
@@ -757,19 +762,7 @@
   }
 
   private void logAttempt(String event, Attempt chosen, String detail) {
-    state.metrics().count("relay." + event);
-    state
-        .log()
-        .info(
-            event,
-            line ->
-                line.with("request", id())
-                    .with("route", route.name())
-                    .with("runner", chosen.runner.id())
-                    .with("attempt", attempts.sent())
-                    .with("age_ms", Duration.between(arrival.readAt(), state.now()).toMillis())
-                    .with("configuration", configuration.version())
-                    .with("detail", detail));
+    events.attempt(event, route, chosen, attempts.sent(), configuration.version(), detail);
   }
 
   /**
@@ -868,6 +861,8 @@
   /** Cancels the request after the caller closed its connection. */
   void onCallerDisconnected() {
     if (!isFinished) {
+      currentAttempt.ifPresent(
+          current -> events.callerGone(route, current, timeLeft(state.now()), server.maxUnread()));
       state.metrics().count("relay.callers_gone");
       finish();
     }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RequestLog.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RequestLog.java
@@ -1,28 +1,99 @@
 package org.dragonflyhill.daemon.relay;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.dragonflyhill.core.relay.Route;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.StreamOrigin;
 import org.dragonflyhill.core.relay.StreamOrigins;
+import org.dragonflyhill.ports.LogEvent;
 
 /** Log lines and counters of one caller's request, which each line names. */
 final class RequestLog {
 
+  /** Age of a request from which its sending is logged; callers wait as long for a sign of it. */
+  private static final Duration LATE_SENDING = Duration.ofSeconds(1);
+
   private final RelayState state;
   private final Supplier<String> requestId;
+  private final RequestTimes times;
 
   /**
    * Creates the log of a request.
    *
    * @param state state of the node
    * @param requestId returns the id of the request, "" until it is known
+   * @param times when the request reached each stage
    */
-  RequestLog(RelayState state, Supplier<String> requestId) {
+  RequestLog(RelayState state, Supplier<String> requestId, RequestTimes times) {
     this.state = state;
     this.requestId = requestId;
+    this.times = times;
+  }
+
+  /** Logs an event of an attempt, which gives it its name, and counts it. */
+  void attempt(
+      String event,
+      Route route,
+      RunnerAttempt attempt,
+      int number,
+      long configuration,
+      String detail) {
+    state.metrics().count("relay." + event);
+    Instant now = state.now();
+    state
+        .log()
+        .info(
+            event,
+            line ->
+                times
+                    .addTo(named(line, route, attempt), now)
+                    .with("attempt", number)
+                    .with("configuration", configuration)
+                    .with("detail", detail));
+  }
+
+  /** Logs a request that was sent so late that its caller may have given up. */
+  void sentLate(Route route, RunnerAttempt attempt, Duration timeLeft) {
+    Instant now = state.now();
+    if (times.maxAge(now).compareTo(LATE_SENDING) < 0) {
+      return;
+    }
+    state.metrics().count("relay.sent_late");
+    state
+        .log()
+        .info(
+            "sent_late",
+            line ->
+                times.addTo(named(line, route, attempt), now).with("left_ms", timeLeft.toMillis()));
+  }
+
+  /**
+   * Logs that the caller has closed the connection while a runner was asked.
+   *
+   * @param timeLeft time that the caller had left
+   * @param maxUnread the longest time for which the close may have lain unread
+   */
+  void callerGone(Route route, RunnerAttempt attempt, Duration timeLeft, Duration maxUnread) {
+    Instant now = state.now();
+    state
+        .log()
+        .info(
+            "caller_gone",
+            line ->
+                times
+                    .addTo(named(line, route, attempt), now)
+                    .with("left_ms", timeLeft.toMillis())
+                    .with("close_unread_ms", maxUnread.toMillis())
+                    .with("unwritten_bytes", attempt.unwrittenBytes()));
+  }
+
+  private LogEvent named(LogEvent line, Route route, RunnerAttempt attempt) {
+    return line.with("request", requestId.get())
+        .with("route", route.name())
+        .with("runner", attempt.runner.id());
   }
 
   void streamTakenUp(String begunBy, StreamOrigin origin, Optional<StreamOrigins.Known> known) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerAttempt.java
@@ -157,6 +157,11 @@
             && Duration.between(lastActivityAt, now).compareTo(Runner.SILENCE_TIMEOUT) > 0;
   }
 
+  /** Returns the number of bytes of the request that the socket has not taken yet. */
+  long unwrittenBytes() {
+    return connection.map(RunnerConnection::unwrittenBytes).orElse(0L);
+  }
+
   Duration answerAge() {
     return Duration.between(answeredAt, state.now());
   }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -100,6 +101,12 @@
     lastWrite = Optional.of(channel.writeAndFlush(new DefaultLastHttpContent(body)));
   }
 
+  /** Returns the number of bytes that the socket has not taken yet. */
+  long unwrittenBytes() {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+  }
+
   /** Cancels the request in progress by closing the connection, which makes the runner stop. */
   void cancel() {
     listener = Optional.empty();
