Tell runners of the time that callers have left, not of that since the request was read

A runner stops by itself at the deadline that it is told, so a node that is late with its own cancellation need not matter, but the runner was told too much.

Cause: the time of learning was taken for that of the event. Deadlines counted from when the node read the request. Before the send, the time that it may have lain unread was subtracted, but not from what the runner was told, nor in the periodic check of deadlines.

Change: the deadlines of the caller and of the route count from the earliest time at which the request may have arrived; Arrival.mayBeOver is not needed any more.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PollTimes.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PollTimes.java
@@ -6,6 +6,7 @@
 import io.netty.util.IntSupplier;
 import java.nio.channels.spi.SelectorProvider;
 import java.time.Duration;
+import java.util.function.LongSupplier;
 
 /**
  * Records when an event loop looks for input. What it reads in one turn was not there when the turn
@@ -15,8 +16,20 @@
  */
 public final class PollTimes {
 
-  private long polledNanos = System.nanoTime();
-  private long polledBeforeNanos = polledNanos;
+  private final LongSupplier nanoClock;
+  private long polledNanos;
+  private long polledBeforeNanos;
+
+  /**
+   * Creates a record that begins now.
+   *
+   * @param nanoClock clock in nanoseconds that never goes back, such as {@link System#nanoTime}
+   */
+  public PollTimes(LongSupplier nanoClock) {
+    this.nanoClock = nanoClock;
+    polledNanos = nanoClock.getAsLong();
+    polledBeforeNanos = polledNanos;
+  }
 
   /** Returns a factory for the only thread of an event loop group. */
   public IoHandlerFactory ioHandlerFactory() {
@@ -26,7 +39,7 @@
 
   private int poll(IntSupplier selectNow, boolean hasTasks) throws Exception {
     polledBeforeNanos = polledNanos;
-    polledNanos = System.nanoTime();
+    polledNanos = nanoClock.getAsLong();
     return hasTasks ? selectNow.get() : SelectStrategy.SELECT;
   }
 
@@ -35,6 +48,6 @@
    * the time for which the event loop waited for input, which periodic tasks keep short.
    */
   Duration maxUnreadTime() {
-    return Duration.ofNanos(System.nanoTime() - polledBeforeNanos);
+    return Duration.ofNanos(nanoClock.getAsLong() - polledBeforeNanos);
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -199,7 +199,7 @@
       return;
     }
     requestHeaders = parsed.get();
-    callerDeadline = arrival.readAt().plus(requestHeaders.timeLeft().orElse(DEFAULT_TIMEOUT));
+    callerDeadline = arrival.notBefore().plus(requestHeaders.timeLeft().orElse(DEFAULT_TIMEOUT));
     if (server.isRefusingRequests()) {
       refuseUnavailable("stopping", "the node is stopping", STOPPING_RETRY_AFTER);
       return;
@@ -230,7 +230,7 @@
             request,
             body,
             requestHeaders.prompt().map(Prompt::sharedPartKeys).orElse(List.of()));
-    Instant routeDeadline = arrival.readAt().plus(route.timeout());
+    Instant routeDeadline = arrival.notBefore().plus(route.timeout());
     deadline = callerDeadline.isBefore(routeDeadline) ? callerDeadline : routeDeadline;
     if (!server.mayFinish(route, deadline)) {
       refuseUnavailable(
@@ -617,7 +617,7 @@
 
   @Override
   public boolean maySend() {
-    if (arrival.mayBeOver(deadline, state.now())) {
+    if (!state.now().isBefore(deadline)) {
       onTimeout();
       return false;
     }
