Reset the runner's connection when a request is cancelled

Cause: a cancelled request's connection was closed in order. What the kernel holds of the request is delivered first, to a runner that reads slowly or over a slow link, and the end that follows is the one of a client that only stops sending. Behind a peer two such closes come one after the other.

Change: a request in progress is cancelled by a reset, which drops what has not been delivered. Connections that carry nothing are closed in order as before.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -107,9 +108,15 @@
     return buffer == null ? 0 : buffer.totalPendingWriteBytes();
   }
 
-  /** Cancels the request in progress by closing the connection, which makes the runner stop. */
+  /**
+   * Cancels the request in progress by resetting the connection, which makes the runner stop. After
+   * an orderly close the rest of the request would still be delivered.
+   */
   void cancel() {
     listener = Optional.empty();
+    if (channel.isActive()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
     channel.close();
   }
 
