Move two decisions about a route's requests into the route

Which service a request id leads to, and whether a caller seems to retry, depend on the route alone. No change of behaviour; RelayedRequest has less to know.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Route.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Route.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A rule that maps requests to services by host name and path. Immutable; no component is null.
@@ -32,6 +33,12 @@
     boolean isAnonymousAllowed,
     boolean isResumable) {
 
+  /**
+   * Difference between the timeout and the caller's remaining time above which a request counts as
+   * a retry by the caller. A caller that retries has used up at least this time.
+   */
+  private static final Duration RETRY_DETECTION_MARGIN = Duration.ofMillis(100);
+
   /** Creates a route with a copy of the shares. */
   public Route {
     shares = List.copyOf(shares);
@@ -50,9 +57,31 @@
   /**
    * Returns the service that handles a request, chosen in proportion to the weights.
    *
+   * @param requestId id of the request, which decides
+   */
+  public String serviceForRequest(String requestId) {
+    int hash = (requestId + name).hashCode() * 0x9E3779B9;
+    return serviceFor((hash >>> 8) / (double) (1 << 24));
+  }
+
+  /**
+   * Returns whether a caller seems to send a request again: it has so much less time left than the
+   * timeout of this route that it has spent time on an earlier attempt.
+   *
+   * @param timeLeft time that the caller had left when it sent the request, if it says so
+   */
+  public boolean isRetry(Optional<Duration> timeLeft) {
+    return timeLeft
+        .filter(left -> left.plus(RETRY_DETECTION_MARGIN).compareTo(timeout) < 0)
+        .isPresent();
+  }
+
+  /**
+   * Returns the service for a point of the unit interval, which the weights divide.
+   *
    * @param point number from 0 (inclusive) to 1 (exclusive) that is derived from the request
    */
-  public String serviceFor(double point) {
+  String serviceFor(double point) {
     double total = shares.stream().mapToInt(Share::weight).sum();
     double cumulative = 0;
     for (Share share : shares) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -71,12 +71,6 @@
   /** Number of peers that may be asked to serve a request. */
   private static final int MAX_PEERS = 2;
 
-  /**
-   * Difference between the timeout of the route and the caller's remaining time above which the
-   * request counts as a retry by the caller. A caller that retries has used up at least this time.
-   */
-  private static final Duration RETRY_DETECTION_MARGIN = Duration.ofMillis(100);
-
   /** Age of an answer up to which its prompt may be the cause if its runner crashes. */
   private static final Duration SUSPECT_ANSWER_AGE = Duration.ofMillis(500);
 
@@ -243,7 +237,7 @@
     if (route.kind() == Route.Kind.STREAM && route.isResumable()) {
       startStream();
     } else {
-      startAt(route.serviceFor(trafficSplitPoint(id())));
+      startAt(route.serviceForRequest(id()));
     }
   }
 
@@ -266,7 +260,7 @@
     if (isFinished) {
       return;
     }
-    String splitService = route.serviceFor(trafficSplitPoint(firstAttempt));
+    String splitService = route.serviceForRequest(firstAttempt);
     StreamContinuation continuation =
         StreamContinuation.decide(
             requestHeaders.lastEventId().isPresent(),
@@ -279,7 +273,7 @@
     switch (continuation) {
       case StreamContinuation.Anew anew -> {
         firstAttempt = id();
-        startAt(route.serviceFor(trafficSplitPoint(id())));
+        startAt(route.serviceForRequest(id()));
       }
       case StreamContinuation.GoOn goOn -> {
         streamBinding.bind(Optional.of(goOn.origin()));
@@ -327,12 +321,6 @@
     return organisation.isPresent();
   }
 
-  /** Returns a number from 0 to below 1 that is derived from a request id and the route. */
-  private double trafficSplitPoint(String requestId) {
-    int hash = (requestId + route.name()).hashCode() * 0x9E3779B9;
-    return (hash >>> 8) / (double) (1 << 24);
-  }
-
   private String id() {
     return requestHeaders == null ? "" : requestHeaders.id().orElse("");
   }
@@ -706,18 +694,9 @@
     if (streamBinding.isBound()) {
       return Admission.Standing.BEGUN;
     }
-    return isRetry() ? Admission.Standing.RETRIED : Admission.Standing.NEW;
-  }
-
-  /**
-   * Returns whether the caller seems to retry: its remaining time is shorter than the timeout of
-   * the route, so it has spent time on an earlier attempt.
-   */
-  private boolean isRetry() {
-    return requestHeaders
-        .timeLeft()
-        .filter(left -> left.plus(RETRY_DETECTION_MARGIN).compareTo(route.timeout()) < 0)
-        .isPresent();
+    return route.isRetry(requestHeaders.timeLeft())
+        ? Admission.Standing.RETRIED
+        : Admission.Standing.NEW;
   }
 
   private Duration timeLeft(Instant now) {
