Refuse requests whose runner would begin to answer after their deadline

Cause: a request was sent while any time was left, although the estimate of the time to the first token was known.

Tried and not kept: refusing new requests that the node handles a second, or a third of their time, after their arrival.

--- a/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/Admission.java
@@ -92,6 +92,13 @@
         : Optional.empty();
   }
 
+  /**
+   * Returns whether the selected runner is expected to begin to answer in the time that is left.
+   */
+  public static boolean canBegin(RunnerSelector.Selection selection, Duration timeLeft) {
+    return selection.firstTokenSeconds() * 1e9 < timeLeft.toNanos();
+  }
+
   private static boolean isAlwaysAdmitted(RunnerSelector.Selection selection) {
     double share = selection.runner().info().slots() * ALWAYS_ADMITTED_SHARE;
     return selection.running() <= Math.min(ALWAYS_ADMITTED_RUNNING, share);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -358,6 +358,10 @@
         refuseUnavailable("overloaded", chosen.selection.explanation(), retryAfter.get());
         return;
       }
+      if (!Admission.canBegin(chosen.selection, timeLeft(now))) {
+        fail("deadline_too_close", chosen.selection.explanation(), NO_RUNNER_RETRY_AFTER);
+        return;
+      }
       if (!Admission.hasRoom(chosen.selection) && !isWaitOver(now)) {
         enqueue(chosen.selection.explanation(), now);
         return;
