Do not take a success for complete that ends with its connection during the upload

With an orderly end of the runner's side, as of a runner that closes without having read the request, the caller got the part as a complete answer, on all four kinds of routes (InterruptedResponseTest.responseThatEndsDuringTheUploadDoesNotLookComplete: 4 of 8 failed before, the four with the orderly end; pass now).

Change: a 2xx with neither length nor chunks that ends while its request is still being written counts as broken off. Errors that a runner sends before it has read a request are relayed as before.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayedRequest.java
@@ -1329,6 +1329,10 @@
         onBrokenOff("stream ended in the middle of an event");
         return;
       }
+      if (isSuccess && framing == RunnerConnection.BodyFraming.CLOSE && !isRequestWritten) {
+        onBrokenOff("connection ended before the request was sent");
+        return;
+      }
       if (isSuccess && !isSoundRecorded) {
         recordSoundAnswer();
       }
