Treat responses with an invalid status code as malformed

Here: 600, 999 and 2000 reached the caller as they were, and a 0200 or +200 as a 200. 000, 001, 099, 0 and 20 were taken for interim responses: the caller waited for another one until its deadline and got 504, though a sound runner could have served a repeatable request. The same behind a peer, and for the second attempt of a stream. Control calls took such a status as it was: an order answered 000 or 2000 counted as rejected, one answered 0202 as accepted, though neither is known.

Change: a status code that is not three digits from 100 to 599 makes a response malformed, which ends the attempt at once: repeatable requests go to another runner, others get 502.

The client of the product's own interface (ports, Reactor Netty) is unchanged and was not tried.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -15,12 +15,12 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
@@ -135,7 +135,10 @@
                   protected void initChannel(SocketChannel channel) {
                     channel
                         .pipeline()
-                        .addLast(WriteErrorHandler.INSTANCE, new HttpClientCodec())
+                        .addLast(
+                            WriteErrorHandler.INSTANCE,
+                            new HttpRequestEncoder(),
+                            new StrictResponseDecoder())
                         .addLast(AGGREGATOR, new HttpObjectAggregator(MAX_RESPONSE_BYTES));
                   }
                 })
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/StrictResponseDecoder.java
@@ -10,14 +10,27 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.dragonflyhill.core.relay.StatusLineScanner;
 
 /**
  * HTTP response decoder that rejects heads which two responses have run into, because a runner cut
- * the first one off. Such a head has the status of one response and the rest of another.
+ * the first one off, and invalid status codes. The former have the status of one response and the
+ * rest of another; the latter have no meaning that a caller or this node could rely on.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
+  /** Three digits, the first of which is the class of the status (RFC 9110, section 15). */
+  private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9][0-9]");
+
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
+      throw new IllegalArgumentException("invalid status code " + initialLine[1]);
+    }
+    return super.createMessage(initialLine);
+  }
+
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
       throws Exception {
