Go on with started requests before others are started

Cause: the steps of all requests were run in the order in which they were added, so that each of the three steps of a request waited behind every request that had come meanwhile.

Change: StepQueue runs further steps first. The number of requests between the first step and the last stays small.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/CallerConnection.java
@@ -239,7 +239,7 @@
       RelayedRequest relayed =
           new RelayedRequest(server, this, request, requestBody, requestArrival);
       activeRequest = Optional.of(relayed);
-      server.steps().execute(relayed::start);
+      server.steps().start(relayed::start);
     }
   }
 
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/StepQueue.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/StepQueue.java
@@ -9,9 +9,10 @@
 import java.util.function.LongSupplier;
 
 /**
- * Runs steps of requests on an event loop, in the order in which they were added. The loop handles
- * its input between two slices of steps, so that it notices callers that leave although many
- * requests wait for their turn.
+ * Runs steps of requests on an event loop, in the order in which they were added; those of requests
+ * that have been started come before the first steps of others. The loop handles its input between
+ * two slices of steps, so that it notices callers that leave although many requests wait for their
+ * turn.
  *
  * <p>Not thread-safe: may be used on the event loop only.
  */
@@ -22,7 +23,8 @@
 
   private final EventLoop loop;
   private final LongSupplier nanoClock;
-  private final Deque<Runnable> steps = new ArrayDeque<>();
+  private final Deque<Runnable> firstSteps = new ArrayDeque<>();
+  private final Deque<Runnable> furtherSteps = new ArrayDeque<>();
   private boolean isScheduled;
 
   /**
@@ -36,10 +38,20 @@
     this.nanoClock = nanoClock;
   }
 
-  /** Adds a step, which runs after this method has returned. */
+  /** Adds the first step of a request. It runs after this method has returned. */
+  void start(Runnable step) {
+    firstSteps.add(step);
+    schedule();
+  }
+
+  /** Adds a step of a request that has been started. It runs after this method has returned. */
   @Override
   public void execute(Runnable step) {
-    steps.add(step);
+    furtherSteps.add(step);
+    schedule();
+  }
+
+  private void schedule() {
     if (!isScheduled) {
       isScheduled = true;
       loop.execute(this::runSlice);
@@ -47,17 +59,17 @@
   }
 
   int size() {
-    return steps.size();
+    return firstSteps.size() + furtherSteps.size();
   }
 
   private void runSlice() {
     long start = nanoClock.getAsLong();
     try {
       do {
-        steps.remove().run();
-      } while (!steps.isEmpty() && nanoClock.getAsLong() - start < SLICE.toNanos());
+        (furtherSteps.isEmpty() ? firstSteps : furtherSteps).remove().run();
+      } while (size() > 0 && nanoClock.getAsLong() - start < SLICE.toNanos());
     } finally {
-      isScheduled = !steps.isEmpty();
+      isScheduled = size() > 0;
       if (isScheduled) {
         // Tasks that are due run in the next turn, other tasks still in this one.
         loop.schedule(this::runSlice, 0, TimeUnit.NANOSECONDS);
