Count the bytes on a node's link by purpose, and log seconds in which it is busy

What callers saw: closes, connects and readiness checks at some nodes took 0.4 to 0.9 s while their event loops were in time (docs/incidents/late-closes.md). Logs and metrics could not tell a full network link from other causes.

Change: counters traffic.PURPOSE.received_bytes and .sent_bytes, and the line link_busy with all purposes for each second that took 40 % of the bandwidth or more. Nothing is decided by them.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/NodeMetrics.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/NodeMetrics.java
@@ -1,5 +1,6 @@
 package org.dragonflyhill.daemon;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
@@ -69,6 +70,11 @@
     registry.counter(name).inc(amount);
   }
 
+  /** Returns the counter of the given name. */
+  public Counter counter(String name) {
+    return registry.counter(name);
+  }
+
   /** Returns the value of a counter. */
   public long counterValue(String name) {
     return registry.counter(name).getCount();
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/ControlClient.java
@@ -62,6 +62,7 @@
 
   private final EventLoop loop;
   private final ByteBudget responseBytes;
+  private final Optional<LinkTraffic.PurposeCounter> traffic;
   private final Map<Endpoint, Deque<Connection>> idleConnections = new HashMap<>();
   private long requestCount;
 
@@ -71,14 +72,23 @@
   }
 
   /** Creates a client whose responses also count in the memory of the node. */
-  public ControlClient(EventLoop loop, RelayMemory memory) {
-    this(loop, memory.part(MAX_RESPONSE_BYTES, MAX_BYTES_IN_PROGRESS));
+  public ControlClient(EventLoop loop, RelayMemory memory, LinkTraffic.PurposeCounter traffic) {
+    this(loop, memory.part(MAX_RESPONSE_BYTES, MAX_BYTES_IN_PROGRESS), Optional.of(traffic));
   }
 
   /** Creates a client that runs on an event loop and limits what it receives. */
   public ControlClient(EventLoop loop, ByteBudget responseBytes) {
+    this(loop, responseBytes, Optional.empty());
+  }
+
+  /**
+   * Creates a client that limits what it receives and counts its traffic, if a counter is given.
+   */
+  public ControlClient(
+      EventLoop loop, ByteBudget responseBytes, Optional<LinkTraffic.PurposeCounter> traffic) {
     this.loop = loop;
     this.responseBytes = responseBytes;
+    this.traffic = traffic;
   }
 
   /** Returns the number of requests sent so far. */
@@ -133,6 +143,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
+                    traffic.ifPresent(counter -> channel.pipeline().addLast(counter));
                     channel
                         .pipeline()
                         .addLast(
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerForwarder.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerForwarder.java
@@ -23,7 +23,13 @@
     targets = state.forwardTargets();
     connections =
         new RunnerConnectionPool(
-            loop, steps, headerCodec, state.log(), state::now, (endpoint, isConnected) -> {});
+            loop,
+            steps,
+            headerCodec,
+            state.log(),
+            state::now,
+            (endpoint, isConnected) -> {},
+            state.traffic().counter(LinkTraffic.Purpose.FORWARDED));
   }
 
   void usePeers(PeerGossip peers) {
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -140,7 +140,7 @@
       if (peer.nextChange < next) {
         changesFrom
             .computeIfAbsent(peer.nextChange, this::encodeChanges)
-            .forEach(bytes -> send(bytes, peer.address));
+            .forEach(bytes -> send(LinkTraffic.Purpose.PEER_CHANGES, bytes, peer.address));
         peer.nextChange = next;
       }
     }
@@ -157,11 +157,11 @@
     // A report names the next change, so the ones before go first.
     sendChanges(due);
     byte[] report = PeerDatagramCodec.encode(new PeerDatagram.Report(buildReport(now)));
-    due.forEach(peer -> send(report, peer.address));
+    due.forEach(peer -> send(LinkTraffic.Purpose.PEER_REPORTS, report, peer.address));
     Set<String> outOfReach = state.servicesOutOfReach();
     if (!outOfReach.isEmpty()) {
       byte[] reach = PeerDatagramCodec.encode(new PeerDatagram.OutOfReach(node, outOfReach));
-      due.forEach(peer -> send(reach, peer.address));
+      due.forEach(peer -> send(LinkTraffic.Purpose.PEER_OTHER, reach, peer.address));
     }
     channel.flush();
   }
@@ -244,7 +244,7 @@
   private void sendTo(String name, PeerDatagram datagram) {
     Peer peer = peers.get(name);
     if (peer != null) {
-      send(PeerDatagramCodec.encode(datagram), peer.address);
+      send(LinkTraffic.Purpose.PEER_OTHER, PeerDatagramCodec.encode(datagram), peer.address);
     }
   }
 
@@ -257,12 +257,13 @@
                 known ->
                     new PeerDatagram.StreamsBegun(node, Map.of(query.attempt(), known.origin())))
             .orElseGet(() -> new PeerDatagram.StreamUnknown(node, query.attempt()));
-    send(PeerDatagramCodec.encode(answer), sender.address);
+    send(LinkTraffic.Purpose.PEER_OTHER, PeerDatagramCodec.encode(answer), sender.address);
     channel.flush();
   }
 
-  private void send(byte[] bytes, InetSocketAddress address) {
+  private void send(LinkTraffic.Purpose purpose, byte[] bytes, InetSocketAddress address) {
     state.metrics().count("peers.datagrams");
+    state.traffic().counter(purpose).addSent(bytes.length);
     channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
   }
 
@@ -335,6 +336,15 @@
     }
   }
 
+  private static LinkTraffic.Purpose purpose(PeerDatagram datagram) {
+    return switch (datagram) {
+      case PeerDatagram.Report report -> LinkTraffic.Purpose.PEER_REPORTS;
+      case PeerDatagram.Changes changes -> LinkTraffic.Purpose.PEER_CHANGES;
+      case PeerDatagram.Snapshot snapshot -> LinkTraffic.Purpose.PEER_SNAPSHOTS;
+      default -> LinkTraffic.Purpose.PEER_OTHER;
+    };
+  }
+
   private void apply(PartChange change) {
     state.parts().apply(change, state.now());
   }
@@ -347,7 +357,10 @@
         .ifPresent(
             from -> {
               state.metrics().count("peers.changes_missed");
-              send(PeerDatagramCodec.encode(new PeerDatagram.Resend(node, from)), sender.address);
+              send(
+                  LinkTraffic.Purpose.PEER_OTHER,
+                  PeerDatagramCodec.encode(new PeerDatagram.Resend(node, from)),
+                  sender.address);
               channel.flush();
             });
     report.topics().forEach(state.sharedTopics()::onProgress);
@@ -364,8 +377,13 @@
     boolean isRecent =
         from != PartFeed.SNAPSHOT
             && state.partChanges().nextSequence() - from <= MAX_RESENT_CHANGES;
-    List<byte[]> datagrams = isRecent ? encodeChanges(from) : encodeSnapshot();
-    datagrams.forEach(bytes -> send(bytes, sender.address));
+    if (isRecent) {
+      encodeChanges(from)
+          .forEach(bytes -> send(LinkTraffic.Purpose.PEER_CHANGES, bytes, sender.address));
+    } else {
+      encodeSnapshot()
+          .forEach(bytes -> send(LinkTraffic.Purpose.PEER_SNAPSHOTS, bytes, sender.address));
+    }
     channel.flush();
   }
 
@@ -397,7 +415,9 @@
         state.metrics().count("peers.unknown_sender");
         return;
       }
-      PeerDatagramCodec.decode(ByteBufUtil.getBytes(packet.content()))
+      byte[] bytes = ByteBufUtil.getBytes(packet.content());
+      PeerDatagramCodec.decode(bytes)
+          .peek(datagram -> state.traffic().counter(purpose(datagram)).addReceived(bytes.length))
           .peek(datagram -> onDatagram(datagram, sender))
           .peekLeft(
               error -> state.log().info("peer_unreadable", event -> event.with("error", error)));
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayServer.java
@@ -41,6 +41,8 @@
   /** How often this node's shares of the runners' rate limits are calculated anew. */
   private static final Duration RATE_LIMIT_INTERVAL = Duration.ofMillis(150);
 
+  private static final Duration TRAFFIC_INTERVAL = Duration.ofSeconds(1);
+
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
 
   /** Minimum time between two connections that tell whether a runner can be reached. */
@@ -88,7 +90,13 @@
     steps = new StepQueue(loop, pollTimes::nanos);
     this.runnerConnections =
         new RunnerConnectionPool(
-            loop, steps, headerCodec, state.log(), state::now, state::recordConnectAttempt);
+            loop,
+            steps,
+            headerCodec,
+            state.log(),
+            state::now,
+            state::recordConnectAttempt,
+            state.traffic().counter(LinkTraffic.Purpose.RUNNERS));
     this.crashDetector = new RunnerCrashDetector(loop, state, runnerConnections);
     forwarder = new PeerForwarder(loop, steps, headerCodec, state);
     serverChannel = listen(address, channel -> onConnectionOpened(channel, false));
@@ -99,6 +107,7 @@
     scheduleEvery(STREAM_JOURNAL_INTERVAL, state::writeStreamOrigins);
     scheduleEvery(SWEEP_INTERVAL, this::sweep);
     scheduleEvery(RATE_LIMIT_INTERVAL, state::updateRateLimitShares);
+    scheduleEvery(TRAFFIC_INTERVAL, () -> state.traffic().record(state.now()));
     state.metrics().registerGauge("relay.waiting", queue::size);
     state.metrics().registerGauge("relay.waiting_steps", steps::size);
     state.metrics().registerGauge("relay.rate_limited_runners", state::rateLimitedRunners);
@@ -174,6 +183,9 @@
     channel
         .pipeline()
         .addLast(
+            state
+                .traffic()
+                .counter(isPeer ? LinkTraffic.Purpose.FORWARDED : LinkTraffic.Purpose.CALLERS),
             new StrictRequestDecoder(config, caller::onBytesReceived),
             new HttpResponseEncoder(),
             caller);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RelayState.java
@@ -83,6 +83,7 @@
   private final Map<String, ServiceReach> reachByService = new HashMap<>();
   private final ForwardTargets forwardTargets = new ForwardTargets();
   private final ColdRunners coldRunners;
+  private final LinkTraffic traffic;
   private Optional<HedgePolicy> hedgePolicy = Optional.empty();
   private Optional<RelayConfiguration> configuration = Optional.empty();
 
@@ -122,6 +123,7 @@
     streamOrigins = new StreamOriginDirectory(clock, metrics);
     coldRunners = new ColdRunners(node, runners, this::coldStart, clock, log, metrics);
     firstTokenErrors = new FirstTokenErrors(metrics);
+    traffic = new LinkTraffic(metrics, log, now());
     runnerSelector = new RunnerSelector(parts, peers, weights.announced(), weightsDeadline, zone);
   }
 
@@ -140,6 +142,11 @@
     return metrics;
   }
 
+  /** Returns the traffic on the network link of this node. */
+  public LinkTraffic traffic() {
+    return traffic;
+  }
+
   /** Returns the runners that the host list contains. */
   public RunnerTable runners() {
     return runners;
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/RunnerConnectionPool.java
@@ -50,6 +50,7 @@
   private final DecisionLog log;
   private final InstantSource clock;
   private final ConnectObserver observer;
+  private final LinkTraffic.PurposeCounter traffic;
   private final Map<Endpoint, IdleConnections> idleByEndpoint = new HashMap<>();
   private long openedCount;
 
@@ -59,8 +60,10 @@
       HeaderCodec headerCodec,
       DecisionLog log,
       InstantSource clock,
-      ConnectObserver observer) {
+      ConnectObserver observer,
+      LinkTraffic.PurposeCounter traffic) {
     this.observer = observer;
+    this.traffic = traffic;
     this.loop = loop;
     this.steps = steps;
     this.headerCodec = headerCodec;
@@ -152,6 +155,7 @@
                     channel
                         .pipeline()
                         .addLast(
+                            traffic,
                             WriteErrorHandler.INSTANCE,
                             new TransparentRequestEncoder(),
                             new StrictResponseDecoder());
