--- a/core/src/test/java/org/dragonflyhill/core/relay/HolderAssignmentTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/HolderAssignmentTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -32,6 +33,7 @@
 
   private final List<Node> nodes = new ArrayList<>();
   private final Set<String> cutLinks = new HashSet<>();
+  private final Set<Endpoint> silentHolders = new HashSet<>();
   private int tick;
 
   /** Starts all nodes at once. */
@@ -39,6 +41,7 @@
   public void start() {
     nodes.clear();
     cutLinks.clear();
+    silentHolders.clear();
     tick = 0;
     for (int i = 0; i < NODES; i++) {
       nodes.add(new Node("n" + i, "z" + i % ZONES, START));
@@ -193,6 +196,42 @@
     }
   }
 
+  /**
+   * Guards against closes that reach runners late: a holder that answered nobody for some seconds
+   * was read by all nodes, also after it answered again.
+   */
+  @Test
+  public void fewNodesReadHolderThatDoesNotAnswer() {
+    run(SETTLED);
+    silentHolders.add(holder(0));
+    for (int i = 0; i < 2 * SETTLED; i++) {
+      run(1);
+      assertTrue(readers(0) <= 3, readers(0) + " readers at tick " + tick);
+    }
+    silentHolders.clear();
+    run(SETTLED);
+    assertEquals(readers(0), 1, "readers after it answers again");
+    assertAllKnow(PeerSchedule.REPORTS.tick());
+  }
+
+  /**
+   * Guards against closes that reach runners late: nodes with slow links that had read nothing for
+   * some seconds read everything at once, for which their links were too slow, and never got back.
+   */
+  @Test
+  public void slowNodesRecoverFromPause() {
+    nodes.forEach(node -> node.readsPerTick = 1);
+    run(3 * SETTLED);
+    nodes.forEach(node -> node.canRead = false);
+    run(20);
+    nodes.forEach(node -> node.canRead = true);
+    run(3 * SETTLED);
+    for (int i = 0; i < HOLDERS; i++) {
+      assertEquals(readers(i), 1, "readers of holder " + i);
+    }
+    assertAllKnow(HolderAssignment.TAKEOVER_TIMEOUT);
+  }
+
   /** The monotonic clock of a suspended node stands still; on waking it hears its peers again. */
   @Test
   public void suspendedNodeCatchesUp() {
@@ -248,6 +287,10 @@
     private Duration clockLag = Duration.ZERO;
     private boolean isFrozen;
     private boolean canRead = true;
+
+    /** Number of reads that fit through the link of this node in one tick. */
+    private int readsPerTick = HOLDERS;
+
     private int sequence;
 
     Node(String name, String zone, Instant startedAt) {
@@ -276,12 +319,19 @@
         Endpoint holder = holder(i);
         if (assignment.isReadHere(holder, zoneOf(holder), live, clock())) {
           reading.add(holder);
-          if (canRead) {
-            assignment.recordRead(holder, clock());
-            freshAt.put(holder, now());
-          }
         }
       }
+      if (canRead) {
+        reading.stream()
+            .filter(holder -> !silentHolders.contains(holder))
+            .sorted(Comparator.comparing(holder -> freshAt.getOrDefault(holder, START)))
+            .limit(readsPerTick)
+            .forEach(
+                holder -> {
+                  assignment.recordRead(holder, clock());
+                  freshAt.put(holder, now());
+                });
+      }
     }
 
     void receive(Node sender) {
