Let one more node at a time read the cache events of a holder that nobody reads

Cause: each node read a runner or store for itself once its entries were 2.5 s old. Whatever made reads late, such as a slow link, made all nodes read, and each of them told all others of every change again.

Change: nodes say in their reports which holders they read, also without success. If a holder is not read, one more node reads it, the next in the order of the assignment; each further one waits twice as long. It stops when one before it reads the holder again. The format of reports stays as it is: nodes of the release before tell of recent reads only, and ignore ages that are too old.

--- a/core/src/test/java/org/dragonflyhill/core/relay/HolderAssignmentTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/HolderAssignmentTest.java
@@ -31,6 +31,9 @@
   /** Number of ticks after which every change of the nodes has been noticed and handled. */
   private static final int SETTLED = 40;
 
+  /** Number of ticks after which a read times out. */
+  private static final int READ_TIMEOUT_TICKS = 8;
+
   private final List<Node> nodes = new ArrayList<>();
   private final Set<String> cutLinks = new HashSet<>();
   private final Set<Endpoint> silentHolders = new HashSet<>();
@@ -182,7 +185,7 @@
     assertAllKnow(HolderAssignment.TAKEOVER_TIMEOUT);
   }
 
-  /** A reader that is alive but cannot read its holders: each node reads them for itself. */
+  /** A reader that is alive but cannot read its holders: other nodes read them. */
   @Test
   public void readsWhatAssignedNodeCannotRead() {
     run(SETTLED);
@@ -220,7 +223,7 @@
    */
   @Test
   public void slowNodesRecoverFromPause() {
-    nodes.forEach(node -> node.readsPerTick = 1);
+    nodes.forEach(node -> node.readsPerTick = 2);
     run(3 * SETTLED);
     nodes.forEach(node -> node.canRead = false);
     run(20);
@@ -283,12 +286,16 @@
     private final HolderAssignment assignment;
     private final PeerTable peers = new PeerTable();
     private final Map<Endpoint, Instant> freshAt = new HashMap<>();
+    private final Map<Endpoint, Instant> readAt = new HashMap<>();
     private final Set<Endpoint> reading = new HashSet<>();
     private Duration clockLag = Duration.ZERO;
     private boolean isFrozen;
     private boolean canRead = true;
 
-    /** Number of reads that fit through the link of this node in one tick. */
+    /**
+     * Number of reads that fit through the link of this node in one tick. Reads go on side by side,
+     * so they take the longer the more there are, and time out.
+     */
     private int readsPerTick = HOLDERS;
 
     private int sequence;
@@ -321,14 +328,15 @@
           reading.add(holder);
         }
       }
-      if (canRead) {
+      if (canRead && reading.size() <= readsPerTick * READ_TIMEOUT_TICKS) {
         reading.stream()
             .filter(holder -> !silentHolders.contains(holder))
-            .sorted(Comparator.comparing(holder -> freshAt.getOrDefault(holder, START)))
+            .sorted(Comparator.comparing(holder -> readAt.getOrDefault(holder, START)))
             .limit(readsPerTick)
             .forEach(
                 holder -> {
                   assignment.recordRead(holder, clock());
+                  readAt.put(holder, now());
                   freshAt.put(holder, now());
                 });
       }
@@ -336,14 +344,10 @@
 
     void receive(Node sender) {
       peers.update(PeerReports.of(sender.name, sender.zone, 1, ++sender.sequence), clock());
-      sender
-          .assignment
-          .recentReads(sender.clock())
-          .forEach(
-              (holder, age) -> {
-                assignment.recordReport(holder, clock().minus(age));
-                freshAt.merge(holder, now().minus(age), (a, b) -> a.isAfter(b) ? a : b);
-              });
+      Map<Endpoint, Duration> reads = sender.assignment.reads(sender.clock());
+      assignment.recordReports(sender.name, reads, clock());
+      reads.forEach(
+          (holder, age) -> freshAt.merge(holder, now().minus(age), (a, b) -> a.isAfter(b) ? a : b));
     }
   }
 }
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -306,7 +306,7 @@
         draining,
         weights,
         state.weights().announced().recent(MAX_ANNOUNCEMENT_AGE, now),
-        assignment.recentReads(now),
+        assignment.reads(now),
         state.partChanges().nextSequence(),
         state.sharedTopics().progress(now),
         state.runnerClockMillis(),
@@ -364,13 +364,10 @@
               channel.flush();
             });
     report.topics().forEach(state.sharedTopics()::onProgress);
+    assignment.recordReports(report.node(), report.holderReports(), now);
     report
         .holderReports()
-        .forEach(
-            (holder, age) -> {
-              assignment.recordReport(holder, now.minus(age));
-              state.parts().markFresh(holder, now.minus(age));
-            });
+        .forEach((holder, age) -> state.parts().markFresh(holder, now.minus(age)));
   }
 
   private void onResend(long from, Peer sender) {
