Spread what nodes tell each other of crashes over several reports

Cause: each report told of up to 64 suspect prompts and requests with up to four crashes each. After 16 of 63 runners had ended at one moment, every node sent that to 133 peers a second, for the ten seconds that a single crash is told.

Event loops were in time, which rules them out.

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.dragonflyhill.core.relay.CrashReportSlices;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.HolderAssignment;
 import org.dragonflyhill.core.relay.PartChange;
@@ -64,6 +65,7 @@
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<InetSocketAddress, Peer> peersByAddress = new HashMap<>();
   private final Map<String, PartFeed> feeds = new HashMap<>();
+  private final CrashReportSlices crashSlices = new CrashReportSlices();
   private long sequence;
   private long changesTick;
 
@@ -150,13 +152,14 @@
     Instant now = state.now();
     state.peers().removeGone(now);
     List<Peer> due = PeerSchedule.REPORTS.due(List.copyOf(peers.values()), sequence);
+    final long round = sequence / PeerSchedule.REPORTS.groups(peers.size());
     sequence++;
     if (due.isEmpty()) {
       return;
     }
     // A report names the next change, so the ones before go first.
     sendChanges(due);
-    byte[] report = PeerDatagramCodec.encode(new PeerDatagram.Report(buildReport(now)));
+    byte[] report = PeerDatagramCodec.encode(new PeerDatagram.Report(buildReport(round, now)));
     due.forEach(peer -> send(LinkTraffic.Purpose.PEER_REPORTS, report, peer.address));
     Set<String> outOfReach = state.servicesOutOfReach();
     if (!outOfReach.isEmpty()) {
@@ -267,7 +270,7 @@
     channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
   }
 
-  private PeerReport buildReport(Instant now) {
+  private PeerReport buildReport(long round, Instant now) {
     Map<String, PeerReport.Load> loads = new HashMap<>();
     Set<String> changing = new HashSet<>();
     Map<String, Long> draining = new HashMap<>();
@@ -310,7 +313,7 @@
         state.partChanges().nextSequence(),
         state.sharedTopics().progress(now),
         state.runnerClockMillis(),
-        state.crashSuspects().report(now),
+        crashSlices.slice(state.crashSuspects().report(now), round),
         state.requestRates(),
         rateLimits);
   }
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
@@ -2,6 +2,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -20,6 +21,7 @@
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.HolderAssignment;
+import org.dragonflyhill.core.relay.PeerSchedule;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
 import org.dragonflyhill.core.relay.StreamOrigin;
 import org.dragonflyhill.core.relay.StreamOrigins;
@@ -36,12 +38,19 @@
   private static final int SUSPECTS = 32;
   private static final int CRASHES = 16;
 
+  /** One frame of the network for each report to the only peer. */
+  private static final long MAX_REPORT_BYTES_PER_SECOND =
+      1_400 * 1_000 / PeerSchedule.REPORTS.tick().toMillis();
+
+  private static final Duration MEASURED_TIME = Duration.ofSeconds(3);
+
   private MultiThreadIoEventLoopGroup group;
   private EventLoop loop;
   private Node first;
   private Node second;
 
-  private record Node(RelayState state, PeerGossip gossip, Endpoint address) {}
+  private record Node(
+      RelayState state, HolderAssignment assignment, PeerGossip gossip, Endpoint address) {}
 
   /** Starts two nodes that know each other. */
   @BeforeMethod
@@ -70,8 +79,8 @@
             new NodeMetrics());
     var address = new Endpoint("127.0.0.1", freePort());
     var assignment = new HolderAssignment(name, "z1", state.now());
-    return new Node(
-        state, new PeerGossip(loop, address, name, "z1", 1, assignment, state), address);
+    var gossip = new PeerGossip(loop, address, name, "z1", 1, assignment, state);
+    return new Node(state, assignment, gossip, address);
   }
 
   private static int freePort() throws IOException {
@@ -136,20 +145,40 @@
     assertEquals(first.state.metrics().counterValue("peers.unknown_sender"), unknown);
   }
 
+  /**
+   * Guards against closes that reach runners late: after sixteen runners had ended together, the
+   * reports of all nodes told of all suspects every time, which filled their links for ten seconds.
+   */
+  @Test
+  public void reportsStayShortWhileMuchIsSuspect() throws Exception {
+    onLoop(() -> recordCrashes(first.state.crashSuspects(), first.state.now()));
+    long before = sentInReports();
+    Thread.sleep(MEASURED_TIME.toMillis());
+    long perSecond = (sentInReports() - before) * 1_000 / MEASURED_TIME.toMillis();
+    assertTrue(perSecond <= MAX_REPORT_BYTES_PER_SECOND, perSecond + " bytes a second");
+  }
+
+  private long sent(String purpose) {
+    return first.state.metrics().counterValue("traffic." + purpose + ".sent_bytes");
+  }
+
+  private long sentInReports() {
+    return sent("peer_reports");
+  }
+
+  private static void recordCrashes(CrashSuspects suspects, Instant now) {
+    for (int i = 0; i < SUSPECTS * CRASHES; i++) {
+      String crash = "i-%010x@1790000000000".formatted(i / SUSPECTS);
+      String name = "%032x".formatted(i % SUSPECTS);
+      suspects.recordCrash(crash, List.of("model/" + name), now);
+      suspects.recordRequestCrash(crash, CrashSuspects.requestKey(name), now, now);
+    }
+  }
+
   /** A report with much to tell must arrive whole, since everything else in it is lost too. */
   @Test
   public void longestReportArrives() throws Exception {
-    onLoop(
-        () -> {
-          CrashSuspects suspects = first.state.crashSuspects();
-          Instant now = first.state.now();
-          for (int i = 0; i < SUSPECTS * CRASHES; i++) {
-            String crash = "i-%010x@1790000000000".formatted(i / SUSPECTS);
-            String name = "%032x".formatted(i % SUSPECTS);
-            suspects.recordCrash(crash, List.of("model/" + name), now);
-            suspects.recordRequestCrash(crash, CrashSuspects.requestKey(name), now, now);
-          }
-        });
+    onLoop(() -> recordCrashes(first.state.crashSuspects(), first.state.now()));
     String last = CrashSuspects.requestKey("%032x".formatted(SUSPECTS - 1));
     await()
         .atMost(Duration.ofSeconds(5))
