Limit part changes and answers to peers that missed some to shares of the link

Peers miss datagrams when a link is full, so that the answers fill it further.

Change: changes take at most a quarter of the node's link (ByteAllowance); answers to peers a tenth, one peer after the other, the newest question of each (ResendQueue).

--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/LinkTraffic.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/LinkTraffic.java
@@ -40,8 +40,8 @@
     PEER_REPORTS,
     /** Changes of cached parts between nodes. */
     PEER_CHANGES,
-    /** All cached parts that a node reads, for another node. */
-    PEER_SNAPSHOTS,
+    /** Changes and snapshots of cached parts for nodes that have missed some. */
+    PEER_RESENDS,
     /** All other datagrams between nodes. */
     PEER_OTHER
   }
@@ -68,6 +68,11 @@
     bytesPerSecond = OptionalDouble.of(newBytesPerSecond);
   }
 
+  /** Returns the bandwidth of the node's link in each direction, in bytes per second, if known. */
+  OptionalDouble bandwidth() {
+    return bytesPerSecond;
+  }
+
   /** Returns the counter for a purpose, which also serves as the first handler of a channel. */
   public PurposeCounter counter(Purpose purpose) {
     return counters.get(purpose);
--- a/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
+++ b/daemon/src/main/java/org/dragonflyhill/daemon/relay/PeerGossip.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.dragonflyhill.core.relay.ByteAllowance;
 import org.dragonflyhill.core.relay.CrashReportSlices;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.HolderAssignment;
@@ -30,6 +31,7 @@
 import org.dragonflyhill.core.relay.PeerReport;
 import org.dragonflyhill.core.relay.PeerSchedule;
 import org.dragonflyhill.core.relay.RateLimitReport;
+import org.dragonflyhill.core.relay.ResendQueue;
 import org.dragonflyhill.core.relay.Runner;
 import org.dragonflyhill.core.relay.StreamOrigin;
 
@@ -47,6 +49,15 @@
   /** Longest datagram that can be received, the limit of UDP over IPv4. */
   private static final int MAX_DATAGRAM_BYTES = 65_507;
 
+  /** Share of the node's link for part changes. */
+  private static final double CHANGES_SHARE = 0.25;
+
+  /** Share of the node's link for what peers have missed. */
+  private static final double RESEND_SHARE = 0.1;
+
+  /** Bandwidth of the node's link if it is not known, in bytes per second. */
+  private static final double DEFAULT_BANDWIDTH = 2_500_000;
+
   /** Number of missed changes above which a snapshot is sent instead. */
   private static final int MAX_RESENT_CHANGES = 1_000;
 
@@ -65,6 +76,8 @@
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<InetSocketAddress, Peer> peersByAddress = new HashMap<>();
   private final Map<String, PartFeed> feeds = new HashMap<>();
+  private final ByteAllowance changesAllowance;
+  private final ResendQueue<Peer> resends;
   private final CrashReportSlices crashSlices = new CrashReportSlices();
   private long sequence;
   private long changesTick;
@@ -95,6 +108,9 @@
     this.zone = zone;
     this.incarnation = incarnation;
     this.ownAddress = ownAddress;
+    double bandwidth = state.traffic().bandwidth().orElse(DEFAULT_BANDWIDTH);
+    changesAllowance = new ByteAllowance(CHANGES_SHARE * bandwidth, state.now());
+    resends = new ResendQueue<>(RESEND_SHARE * bandwidth, state.now());
     channel =
         new Bootstrap()
             .group(loop)
@@ -132,6 +148,11 @@
   private void sendChanges() {
     changesTick++;
     sendChanges(PeerSchedule.PART_CHANGES.due(List.copyOf(peers.values()), changesTick));
+    resends
+        .take(state.now())
+        .forEach(
+            resent ->
+                send(LinkTraffic.Purpose.PEER_RESENDS, resent.bytes(), resent.peer().address));
     channel.flush();
   }
 
@@ -139,10 +160,14 @@
     Map<Long, List<byte[]>> changesFrom = new HashMap<>();
     long next = state.partChanges().nextSequence();
     for (Peer peer : due) {
-      if (peer.nextChange < next) {
-        changesFrom
-            .computeIfAbsent(peer.nextChange, this::encodeChanges)
-            .forEach(bytes -> send(LinkTraffic.Purpose.PEER_CHANGES, bytes, peer.address));
+      if (next - peer.nextChange > MAX_RESENT_CHANGES) {
+        // The peer learns from the next report that it has missed changes, and asks for them.
+        peer.nextChange = next;
+      } else if (peer.nextChange < next && changesAllowance.isAvailable(state.now())) {
+        for (byte[] bytes : changesFrom.computeIfAbsent(peer.nextChange, this::encodeChanges)) {
+          send(LinkTraffic.Purpose.PEER_CHANGES, bytes, peer.address);
+          changesAllowance.spend(bytes.length);
+        }
         peer.nextChange = next;
       }
     }
@@ -343,7 +368,7 @@
     return switch (datagram) {
       case PeerDatagram.Report report -> LinkTraffic.Purpose.PEER_REPORTS;
       case PeerDatagram.Changes changes -> LinkTraffic.Purpose.PEER_CHANGES;
-      case PeerDatagram.Snapshot snapshot -> LinkTraffic.Purpose.PEER_SNAPSHOTS;
+      case PeerDatagram.Snapshot snapshot -> LinkTraffic.Purpose.PEER_RESENDS;
       default -> LinkTraffic.Purpose.PEER_OTHER;
     };
   }
@@ -374,17 +399,17 @@
   }
 
   private void onResend(long from, Peer sender) {
+    boolean isStillToBeSent = from != PartFeed.SNAPSHOT && from >= sender.nextChange;
+    if (!isStillToBeSent) {
+      resends.add(sender, () -> encodeMissed(from));
+    }
+  }
+
+  private List<byte[]> encodeMissed(long from) {
     boolean isRecent =
         from != PartFeed.SNAPSHOT
             && state.partChanges().nextSequence() - from <= MAX_RESENT_CHANGES;
-    if (isRecent) {
-      encodeChanges(from)
-          .forEach(bytes -> send(LinkTraffic.Purpose.PEER_CHANGES, bytes, sender.address));
-    } else {
-      encodeSnapshot()
-          .forEach(bytes -> send(LinkTraffic.Purpose.PEER_SNAPSHOTS, bytes, sender.address));
-    }
-    channel.flush();
+    return isRecent ? encodeChanges(from) : encodeSnapshot();
   }
 
   private PartFeed feed(String peer) {
--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
@@ -21,6 +21,7 @@
 import org.dragonflyhill.core.relay.CrashSuspects;
 import org.dragonflyhill.core.relay.Endpoint;
 import org.dragonflyhill.core.relay.HolderAssignment;
+import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PeerSchedule;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
 import org.dragonflyhill.core.relay.StreamOrigin;
@@ -42,6 +43,14 @@
   private static final long MAX_REPORT_BYTES_PER_SECOND =
       1_400 * 1_000 / PeerSchedule.REPORTS.tick().toMillis();
 
+  /** Bandwidth of the nodes' links, in bytes per second. */
+  private static final int BANDWIDTH = 200_000;
+
+  private static final Endpoint HOLDER = new Endpoint("10.0.0.1", 80);
+  private static final int PART_CHANGES = 20_000;
+  private static final int PARTS_AT_ONCE = 500;
+  private static final Duration PAUSE_BETWEEN_PARTS = Duration.ofMillis(50);
+
   private static final Duration MEASURED_TIME = Duration.ofSeconds(3);
 
   private MultiThreadIoEventLoopGroup group;
@@ -79,6 +88,7 @@
             new NodeMetrics());
     var address = new Endpoint("127.0.0.1", freePort());
     var assignment = new HolderAssignment(name, "z1", state.now());
+    state.traffic().useBandwidth(BANDWIDTH);
     var gossip = new PeerGossip(loop, address, name, "z1", 1, assignment, state);
     return new Node(state, assignment, gossip, address);
   }
@@ -158,6 +168,45 @@
     assertTrue(perSecond <= MAX_REPORT_BYTES_PER_SECOND, perSecond + " bytes a second");
   }
 
+  /**
+   * Guards against closes that reach runners late: what nodes tell each other of the runners'
+   * caches filled their links. Changes are sent within a share of the link, and none is lost for
+   * good.
+   */
+  @Test
+  public void partChangesKeepWithinShareOfLink() throws Exception {
+    Instant start = Instant.now();
+    for (int i = 0; i < PART_CHANGES; i += PARTS_AT_ONCE) {
+      int from = i;
+      onLoop(() -> recordParts(from, from + PARTS_AT_ONCE));
+      Thread.sleep(PAUSE_BETWEEN_PARTS.toMillis());
+    }
+    long bytes = sent("peer_changes") + sent("peer_resends");
+    long share = bytes * 1_000 / Duration.between(start, Instant.now()).toMillis();
+    assertTrue(share <= BANDWIDTH * 2 / 5, share + " bytes a second");
+    await()
+        .atMost(Duration.ofSeconds(20))
+        .until(
+            () ->
+                loop.submit(
+                            () -> {
+                              first.assignment.recordRead(HOLDER, first.state.now());
+                              return knownParts(second.state);
+                            })
+                        .get()
+                    == PART_CHANGES);
+  }
+
+  private void recordParts(int from, int to) {
+    for (int i = from; i < to; i++) {
+      first.state.recordPartChange(new PartChange.Stored(HOLDER, "salt", "part-" + i, 1));
+    }
+  }
+
+  private static long knownParts(RelayState state) {
+    return state.parts().totalTokens(HOLDER);
+  }
+
   private long sent(String purpose) {
     return first.state.metrics().counterValue("traffic." + purpose + ".sent_bytes");
   }
