Replace a reader of cache events that comes and goes

The wait has a limit from the last read on now. HolderAssignmentTest.readerThatComesAndGoesIsReplaced fails without it.

--- a/core/src/main/java/org/dragonflyhill/core/relay/HolderAssignment.java
+++ b/core/src/main/java/org/dragonflyhill/core/relay/HolderAssignment.java
@@ -230,9 +230,12 @@
   private boolean isTakeoverDue(Endpoint holder, String holderZone, Instant now) {
     Map<String, Instant> others = otherReaders(holder);
     int doublings = Math.min(Math.max(0, others.size() - 1), MAX_DOUBLINGS);
-    Instant due =
-        later(reportedAt.get(holder), readerAddedAt.getOrDefault(holder, startedAt))
-            .plus(TAKEOVER_TIMEOUT.multipliedBy(1L << doublings));
+    Duration wait = TAKEOVER_TIMEOUT.multipliedBy(1L << doublings);
+    Instant lastRead = reportedAt.get(holder);
+    Instant due = later(lastRead, readerAddedAt.getOrDefault(holder, startedAt)).plus(wait);
+    // A reader that comes and goes seems to be added again and again.
+    Instant latestDue = lastRead.plus(wait.multipliedBy(2));
+    due = due.isAfter(latestDue) ? latestDue : due;
     if (now.isBefore(due)) {
       return false;
     }
--- a/core/src/test/java/org/dragonflyhill/core/relay/HolderAssignmentTest.java
+++ b/core/src/test/java/org/dragonflyhill/core/relay/HolderAssignmentTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.dragonflyhill.core.RendezvousHash;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -31,6 +32,9 @@
   /** Number of ticks after which every change of the nodes has been noticed and handled. */
   private static final int SETTLED = 40;
 
+  /** Names of nodes, in the order in which they read a holder. */
+  private static final List<String> PQN = List.of("p", "q", "n");
+
   /** Number of ticks after which a read times out. */
   private static final int READ_TIMEOUT_TICKS = 8;
 
@@ -275,6 +279,33 @@
     }
   }
 
+  /**
+   * The assigned reader reads nothing, and is taken for dead and alive in turn; the node that
+   * replaces it meanwhile reads nothing either.
+   */
+  @Test
+  public void readerThatComesAndGoesIsReplaced() {
+    Endpoint holder =
+        IntStream.range(0, 1_000)
+            .mapToObj(HolderAssignmentTest::holder)
+            .filter(h -> RendezvousHash.rank(h.toString(), List.of("n", "p", "q")).equals(PQN))
+            .findFirst()
+            .orElseThrow();
+    HolderAssignment assignment = new HolderAssignment("n", "z", START);
+    var p = new HolderAssignment.Peer("p", "z");
+    var q = new HolderAssignment.Peer("q", "z");
+    boolean isReadHere = false;
+    for (int i = 0; i < 2 * SETTLED && !isReadHere; i++) {
+      Instant at = START.plus(PeerSchedule.REPORTS.tick().multipliedBy(i));
+      boolean isHeard = i / 7 % 2 == 0;
+      if (isHeard) {
+        assignment.recordReports("p", Map.of(holder, Duration.ofMinutes(1)), at);
+      }
+      isReadHere = assignment.isReadHere(holder, "z", isHeard ? List.of(p, q) : List.of(q), at);
+    }
+    assertTrue(isReadHere);
+  }
+
   private static List<HolderAssignment.Peer> peersIn(String zone) {
     return List.of(new HolderAssignment.Peer("p", zone));
   }
