--- a/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
+++ b/daemon/src/test/java/org/dragonflyhill/daemon/relay/PeerGossipTest.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
@@ -23,6 +24,8 @@
 import org.dragonflyhill.core.relay.HolderAssignment;
 import org.dragonflyhill.core.relay.PartChange;
 import org.dragonflyhill.core.relay.PeerSchedule;
+import org.dragonflyhill.core.relay.Runner;
+import org.dragonflyhill.core.relay.RunnerInfo;
 import org.dragonflyhill.core.relay.SharedRetryBudget;
 import org.dragonflyhill.core.relay.StreamOrigin;
 import org.dragonflyhill.core.relay.StreamOrigins;
@@ -39,6 +42,9 @@
   private static final int SUSPECTS = 32;
   private static final int CRASHES = 16;
 
+  /** Number of runners whose load makes a report longer than 2,048 bytes. */
+  private static final int RUNNERS = 300;
+
   /** One frame of the network for each report to the only peer. */
   private static final long MAX_REPORT_BYTES_PER_SECOND =
       1_400 * 1_000 / PeerSchedule.REPORTS.tick().toMillis();
@@ -224,9 +230,38 @@
     }
   }
 
-  /** A report with much to tell must arrive whole, since everything else in it is lost too. */
+  /**
+   * A report with much to tell must arrive whole, since everything else in it is lost too. Netty's
+   * buffer for datagrams holds 2,048 bytes by default.
+   */
+  @Test
+  public void reportOfManyRunnersArrives() throws Exception {
+    onLoop(
+        () -> {
+          for (int i = 0; i < RUNNERS; i++) {
+            first.state.addOrUpdateRunner(runnerInfo(i));
+            Runner runner = first.state.runners().find("i-" + i).orElseThrow();
+            runner.requestSent(0, 1_000, 1_000, first.state.now());
+          }
+        });
+    String last = "i-" + (RUNNERS - 1);
+    await()
+        .atMost(Duration.ofSeconds(5))
+        .until(
+            () ->
+                loop.submit(() -> second.state.peers().running(last, second.state.now())).get()
+                    == 1);
+  }
+
+  private static RunnerInfo runnerInfo(int i) {
+    var endpoint = new Endpoint("10.0.1." + i % 250, 1_000 + i);
+    return new RunnerInfo(
+        "i-" + i, "s", endpoint, "z1", 8, false, Map.of(), Optional.of("v1"), 1_790_000_000_000L);
+  }
+
+  /** All suspects become known to the peers, though each report tells of a few only. */
   @Test
-  public void longestReportArrives() throws Exception {
+  public void allSuspectsArrive() throws Exception {
     onLoop(() -> recordCrashes(first.state.crashSuspects(), first.state.now()));
     String last = CrashSuspects.requestKey("%032x".formatted(SUSPECTS - 1));
     await()
